--- /dev/null
+++ b/errors.go
@@ -0,0 +1,59 @@
+package carawayshift
+
+import "github.com/cockroachdb/errors"
+
+// Kind classifies an error for callers and operators. The text is part of the
+// external interfaces: error bodies carry it in the field "kind".
+type Kind string
+
+// Kinds of errors.
+const (
+	// NotRun says that nothing was executed, so a resend is safe.
+	NotRun Kind = "not run"
+	// OutcomeUnknown says that the work may have been executed.
+	OutcomeUnknown Kind = "outcome unknown"
+	// Malformed says that the input can't be read.
+	Malformed Kind = "malformed"
+	// TooLarge says that the input exceeds a size limit.
+	TooLarge Kind = "too large"
+	// Conflict says that another command won, or that an id was reused.
+	Conflict Kind = "conflict"
+	// Limited says that a team's limit was reached.
+	Limited Kind = "limited"
+	// Unavailable says that the part that must answer can't be reached.
+	Unavailable Kind = "unavailable"
+	// NotFound says that the named object does not exist.
+	NotFound Kind = "not found"
+	// Refused says that a rule of the scheduler forbids the change.
+	Refused Kind = "refused"
+)
+
+// Error is an error with a kind and a remedy. Error() prints both, so that
+// every message that reaches a person says what to do next.
+type Error struct {
+	Kind   Kind
+	Text   string
+	Remedy string
+}
+
+// NewError returns an error of the given kind. The remedy is a full sentence
+// or statement that the reader can act on.
+func NewError(kind Kind, text, remedy string) *Error {
+	return &Error{Kind: kind, Text: text, Remedy: remedy}
+}
+
+func (e *Error) Error() string {
+	if e.Remedy == "" {
+		return string(e.Kind) + ": " + e.Text
+	}
+	return string(e.Kind) + ": " + e.Text + "; " + e.Remedy
+}
+
+// KindOf returns the kind of the first Error in err's chain, or an empty kind.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,91 @@
+package carawayshift
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Log is the replicated command log.
+type Log interface {
+	// Propose commits and applies one command and returns its stored answer.
+	// A refusal by the state machine is in the Answer, not in the error. An
+	// error of kind NotRun says that the command was not and will never be
+	// applied; OutcomeUnknown says that it may be: resend with the same id.
+	Propose(ctx context.Context, c Command) (Answer, error)
+	// Barrier returns a log index such that a copy of the state that has
+	// applied it includes every command answered before the call.
+	Barrier(ctx context.Context) (uint64, error)
+	// Leader returns the host name of the leader and the term as far as this
+	// host knows, or "" when there is none.
+	Leader() (host string, term uint64)
+}
+
+// StateMachine is what a replica applies committed entries to. All three
+// methods are called from one goroutine at a time.
+type StateMachine interface {
+	// Apply changes the state and returns the result for the proposer. It
+	// must depend on nothing but the state, the index and the entry.
+	Apply(index uint64, entry []byte) []byte
+	// Snapshot writes the whole state; equal states give equal bytes.
+	Snapshot(w io.Writer) error
+	// Restore replaces the state by a snapshot.
+	Restore(r io.Reader) error
+}
+
+// Handler answers one call of a peer host. From is the peer's authenticated
+// name.
+type Handler func(ctx context.Context, from string, body []byte) ([]byte, error)
+
+// Transport carries calls between the system's hosts.
+type Transport interface {
+	// Call sends one request to a host and waits for the reply. The error
+	// has kind NotRun when the request provably did not leave this host, and
+	// OutcomeUnknown otherwise; an Error returned by the peer's handler
+	// arrives with its kind.
+	Call(ctx context.Context, host, method string, body []byte) ([]byte, error)
+	// Handle registers the handler of a method. Methods are registered
+	// before the transport serves.
+	Handle(method string, fn Handler)
+}
+
+// Planner decides where gangs run. It is a pure function of its input.
+type Planner interface {
+	Plan(now time.Time, v View) Plan
+	// CheckGuarantees returns an Error of kind Refused that names what is
+	// short when the teams' guarantees can't all be packed on the workers.
+	CheckGuarantees(v View) error
+}
+
+// WorkerClient speaks to one worker. Lease is how long the task or the
+// reservation lives without renewal, on the worker's clock.
+type WorkerClient interface {
+	Prepare(ctx context.Context, w Worker, t TaskSpec, lease time.Duration) error
+	Start(ctx context.Context, w Worker, t TaskSpec, lease time.Duration) error
+	Renew(ctx context.Context, w Worker, tasks []TaskSpec, lease time.Duration) error
+	Checkpoint(ctx context.Context, w Worker, t TaskSpec) error
+	Throttle(ctx context.Context, w Worker, t TaskSpec, percent int) error
+	Stop(ctx context.Context, w Worker, t TaskSpec) error
+}
+
+// TaskSpec tells a worker which task of which attempt is meant and what the
+// task needs.
+type TaskSpec struct {
+	Job          uint64        `json:"job"`
+	Attempt      int           `json:"attempt"`
+	Task         int           `json:"task"`
+	Tasks        int           `json:"tasks"`
+	Name         string        `json:"name"`
+	Accelerators int           `json:"accelerators"`
+	Cores        int           `json:"cores"`
+	Memory       int           `json:"memory"`
+	Checkpoint   time.Duration `json:"checkpoint"`
+}
+
+// Balancer chooses the runner of a request.
+type Balancer interface {
+	// Pick chooses a runner of the service and counts the request as in
+	// flight until done is called with its end. An error of kind Unavailable
+	// says that no runner can take it now.
+	Pick(service string, exclude []string) (r Runner, done func(err error, elapsed time.Duration), alternatives int, e error)
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,104 @@
+package carawayshift
+
+import "time"
+
+// State is the replicated state. Reads that leave the owner are deep enough
+// copies: a reader may keep them, and must not change them.
+type State struct {
+	// Version rises by one with each accepted operator command.
+	Version uint64
+	// Index is the log index of the last applied entry.
+	Index uint64
+	Zones map[string]Zone
+	Teams map[string]Team
+	Jobs  map[uint64]Job
+	Notes []Note
+	// Quarantine maps workers to the end of their quarantine.
+	Quarantine map[string]time.Time
+	// Config holds the deployment's settings that operators change at run
+	// time, for example "objective".
+	Config map[string]string
+}
+
+// Objective is what the planner optimises.
+type Objective string
+
+// Objectives. Completion favours short completion times; packing favours
+// large adjacent cells.
+const (
+	ObjectiveCompletion Objective = "completion"
+	ObjectivePacking    Objective = "packing"
+)
+
+// View is what the planner sees. Slices are sorted by name or id.
+type View struct {
+	Objective Objective
+	Zones     []Zone
+	Teams     []Team
+	// Workers includes quarantined and leaving ones, which take no new work.
+	Workers []Worker
+	// Jobs holds every job that has not ended.
+	Jobs []Job
+}
+
+// Plan is the planner's decision for one view. The caller carries it out by
+// proposing one command per element.
+type Plan struct {
+	// Starts places waiting jobs; Job.Attempt + 1 is the new attempt.
+	Starts []Start
+	// Stops lists running jobs to checkpoint and stop.
+	Stops []Stop
+	// Parks lists waiting jobs that can never run.
+	Parks []Park
+	// Waits explains each job that keeps waiting.
+	Waits map[uint64]Wait
+	// Shortfalls lists guarantees that the present workers can't hold.
+	Shortfalls []Shortfall
+}
+
+// Start places one gang.
+type Start struct {
+	Job        uint64
+	Zone       string
+	Placements []TaskPlacement
+	Borrowed   bool
+	// Reason and Alternatives go into the log line of the decision:
+	// Alternatives is the number of other cells that would have fit.
+	Reason       string
+	Alternatives int
+}
+
+// Stop ends the current attempt of a job, which goes back to waiting.
+type Stop struct {
+	Job     uint64
+	Attempt int
+	Reason  string
+	// For is the job that gets the accelerators, 0 for a zone that leaves.
+	For uint64
+}
+
+// Park sets a job aside until an operator changes or cancels it.
+type Park struct {
+	Job    uint64
+	Reason string
+}
+
+// Wait explains why a job waits.
+type Wait struct {
+	// Rule names the rule that holds the job back.
+	Rule string
+	// Frees says what would free it.
+	Frees string
+	// Expected is the expected start; zero if unknown.
+	Expected time.Time
+	// Next is the statement that an operator can type.
+	Next string
+}
+
+// Shortfall is a guarantee that can't be met with the present workers.
+type Shortfall struct {
+	Team string
+	// Size is the cell size, Missing the number of cells that don't fit.
+	Size    int
+	Missing int
+}
