--- a/interfaces.go
+++ b/interfaces.go
@@ -58,12 +58,17 @@
 }
 
 // WorkerClient speaks to one worker. Lease is how long the task or the
-// reservation lives without renewal, on the worker's clock.
+// reservation lives without renewal, counted by the worker from the arrival of
+// the call.
 type WorkerClient interface {
 	Prepare(ctx context.Context, w Worker, t TaskSpec, lease time.Duration) error
 	Start(ctx context.Context, w Worker, t TaskSpec, lease time.Duration) error
-	Renew(ctx context.Context, w Worker, tasks []TaskSpec, lease time.Duration) error
-	Checkpoint(ctx context.Context, w Worker, t TaskSpec) error
+	// Renew extends the leases to a time on this host's clock. It is sent as
+	// a time on the worker's clock, so that a call that is delayed by a
+	// freeze of this host extends nothing.
+	Renew(ctx context.Context, w Worker, tasks []TaskSpec, until time.Time) error
+	// Checkpoint returns the run time that the finished checkpoint covers.
+	Checkpoint(ctx context.Context, w Worker, t TaskSpec) (time.Duration, error)
 	Throttle(ctx context.Context, w Worker, t TaskSpec, percent int) error
 	Stop(ctx context.Context, w Worker, t TaskSpec) error
 }
@@ -80,6 +85,8 @@
 	Cores        int           `json:"cores"`
 	Memory       int           `json:"memory"`
 	Checkpoint   time.Duration `json:"checkpoint"`
+	// Run is the declared run time of the whole task.
+	Run time.Duration `json:"run"`
 }
 
 // Balancer chooses the runner of a request.
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,229 @@
+// Package scheduler is the leader's loop: it builds the view of jobs, teams
+// and workers, asks the planner, and proposes one command per decision.
+//
+// # Usage
+//
+//	s := scheduler.New(scheduler.Options{Host: "h1", Log: log, State: machine.State,
+//		Workers: workers.All, Changed: workers.Changed, Planner: planner, Logger: logger})
+//	err := s.Run(ctx)
+//
+// The scheduler keeps no state that matters: a new leader plans from the
+// replicated state and the zones' digests. Every decision is one log line with
+// its reason and the number of alternatives.
+package scheduler
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// planInterval bounds how long a change waits for the next plan. Urgent
+	// work has 8.5 s from submission to start, of which a reclaim with its
+	// checkpoint takes up to 5 s.
+	planInterval = 250 * time.Millisecond
+	// digestWait is how long a new leader waits for the zones' digests, so
+	// that it does not reclaim in one zone what is free in another.
+	digestWait = 3 * time.Second
+	// startDeadline is how long a placed gang may wait for its start. A zone
+	// without a lease holder starts nothing; the job then goes elsewhere.
+	startDeadline  = 5 * time.Second
+	proposeTimeout = 2 * time.Second
+)
+
+// Options configures a Scheduler.
+type Options struct {
+	Host  string
+	Log   carawayshift.Log
+	State func() carawayshift.State
+	// Workers returns the workers of all zones.
+	Workers func() []carawayshift.Worker
+	Planner carawayshift.Planner
+	Logger  logrus.FieldLogger
+}
+
+// Scheduler plans and proposes while its host is the leader.
+type Scheduler struct {
+	opts Options
+	// term and since say for which term this host plans, and since when.
+	term   uint64
+	since  time.Time
+	synced bool
+	// placed has when this host first saw each placed attempt.
+	placed map[placedKey]time.Time
+}
+
+type placedKey struct {
+	job     uint64
+	attempt int
+}
+
+// New returns a scheduler that has planned nothing yet.
+func New(opts Options) *Scheduler {
+	return &Scheduler{opts: opts, placed: map[placedKey]time.Time{}}
+}
+
+// Run plans until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) error {
+	tick := time.NewTicker(planInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			if s.ready(ctx) {
+				s.plan(ctx)
+			}
+		}
+	}
+}
+
+// ready reports whether this host is the leader, has applied everything that
+// was answered in earlier terms, and has heard from the zones.
+func (s *Scheduler) ready(ctx context.Context) bool {
+	leader, term := s.opts.Log.Leader()
+	if leader != s.opts.Host {
+		s.term = 0
+		return false
+	}
+	if term != s.term {
+		s.term, s.since, s.synced = term, time.Now(), false
+		s.placed = map[placedKey]time.Time{}
+	}
+	if !s.synced {
+		s.synced = s.barrier(ctx)
+	}
+	return s.synced && (time.Since(s.since) >= digestWait || s.allZonesKnown())
+}
+
+func (s *Scheduler) barrier(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	index, err := s.opts.Log.Barrier(ctx)
+	return err == nil && s.opts.State().Index >= index
+}
+
+func (s *Scheduler) allZonesKnown() bool {
+	known := map[string]bool{}
+	for _, w := range s.opts.Workers() {
+		known[w.Zone] = true
+	}
+	for name, z := range s.opts.State().Zones {
+		if !z.Out && !known[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// View builds the planner's view from the replicated state and the workers.
+func View(st carawayshift.State, workers []carawayshift.Worker, now time.Time) carawayshift.View {
+	v := carawayshift.View{Objective: carawayshift.Objective(st.Config["objective"])}
+	if v.Objective == "" {
+		v.Objective = carawayshift.ObjectiveCompletion
+	}
+	for _, z := range st.Zones {
+		v.Zones = append(v.Zones, z)
+	}
+	sort.Slice(v.Zones, func(i, j int) bool { return v.Zones[i].Name < v.Zones[j].Name })
+	for _, t := range st.Teams {
+		v.Teams = append(v.Teams, t)
+	}
+	sort.Slice(v.Teams, func(i, j int) bool { return v.Teams[i].Name < v.Teams[j].Name })
+	for _, w := range workers {
+		w.Quarantined = now.Before(st.Quarantine[w.Name])
+		v.Workers = append(v.Workers, w)
+	}
+	for _, j := range st.Jobs {
+		if !j.State.Ended() {
+			v.Jobs = append(v.Jobs, j)
+		}
+	}
+	sort.Slice(v.Jobs, func(i, j int) bool { return v.Jobs[i].ID < v.Jobs[j].ID })
+	return v
+}
+
+func (s *Scheduler) plan(ctx context.Context) {
+	now := time.Now()
+	st := s.opts.State()
+	s.withdrawStuck(ctx, st, now)
+	p := s.opts.Planner.Plan(now, View(st, s.opts.Workers(), now))
+	for _, stop := range p.Stops {
+		s.stop(ctx, stop)
+	}
+	for _, park := range p.Parks {
+		s.park(ctx, park)
+	}
+	for _, start := range p.Starts {
+		s.place(ctx, st.Jobs[start.Job], start)
+	}
+}
+
+func (s *Scheduler) place(ctx context.Context, job carawayshift.Job, d carawayshift.Start) {
+	log := s.opts.Logger.WithFields(logrus.Fields{
+		"job": d.Job, "team": job.Team, "choice": d.Zone, "workers": len(d.Placements),
+		"borrowed": d.Borrowed, "reason": d.Reason, "alternatives": d.Alternatives,
+	})
+	s.propose(ctx, log, "place", carawayshift.PlaceJob, carawayshift.JobChange{
+		ID: d.Job, Attempt: job.Attempt + 1, Zone: d.Zone, Placements: d.Placements, Borrowed: d.Borrowed,
+	})
+}
+
+func (s *Scheduler) stop(ctx context.Context, d carawayshift.Stop) {
+	log := s.opts.Logger.WithFields(logrus.Fields{"job": d.Job, "for": d.For, "reason": d.Reason})
+	s.propose(ctx, log, "stop", carawayshift.StopJob, carawayshift.JobChange{
+		ID: d.Job, Attempt: d.Attempt, Reason: d.Reason, StopTo: carawayshift.JobWaiting,
+	})
+}
+
+func (s *Scheduler) park(ctx context.Context, d carawayshift.Park) {
+	log := s.opts.Logger.WithFields(logrus.Fields{"job": d.Job, "reason": d.Reason})
+	s.propose(ctx, log, "park", carawayshift.ParkJob, carawayshift.JobChange{ID: d.Job, Reason: d.Reason})
+}
+
+// withdrawStuck returns placed jobs to the queue when their zone does not
+// start them. That is safe at any moment: a start needs the state machine's
+// consent, which it gives only to the attempt that is placed.
+func (s *Scheduler) withdrawStuck(ctx context.Context, st carawayshift.State, now time.Time) {
+	seen := map[placedKey]time.Time{}
+	for _, j := range st.Jobs {
+		if j.State != carawayshift.JobPlaced {
+			continue
+		}
+		k := placedKey{j.ID, j.Attempt}
+		first, ok := s.placed[k]
+		if !ok {
+			first = now
+		}
+		seen[k] = first
+		if now.Sub(first) < startDeadline {
+			continue
+		}
+		log := s.opts.Logger.WithFields(logrus.Fields{"job": j.ID, "zone": j.Zone})
+		s.propose(ctx, log, "withdraw", carawayshift.JobStopped, carawayshift.JobChange{
+			ID: j.ID, Attempt: j.Attempt, Reason: "zone " + j.Zone + " did not start the job in time",
+		})
+	}
+	s.placed = seen
+}
+
+// propose sends one decision to the log. An unclear end needs no retry: the
+// next plan starts from the state that resulted.
+func (s *Scheduler) propose(ctx context.Context, log logrus.FieldLogger, verb string, kind carawayshift.CommandKind, ch carawayshift.JobChange) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := s.opts.Log.Propose(ctx, carawayshift.Command{Kind: kind, By: s.opts.Host, At: time.Now().UTC(), Change: &ch})
+	if err == nil {
+		err = answer.Err()
+	}
+	if err != nil {
+		log.WithError(err).Warn(verb + " not recorded")
+		return
+	}
+	log.Info(verb)
+}
--- /dev/null
+++ b/internal/standin/worker/announce.go
@@ -0,0 +1,126 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+type announcement struct {
+	Name         string       `json:"name"`
+	Incarnation  uint64       `json:"incarnation"`
+	Zone         string       `json:"zone"`
+	Rack         string       `json:"rack"`
+	Address      string       `json:"address"`
+	Cores        int          `json:"cores"`
+	Memory       int          `json:"memory"`
+	Accelerators int          `json:"accelerators"`
+	Tasks        []taskReport `json:"tasks,omitempty"`
+	Clock        int64        `json:"clock"`
+}
+
+type taskReport struct {
+	Job          uint64 `json:"job"`
+	Attempt      int    `json:"attempt"`
+	Task         int    `json:"task"`
+	State        string `json:"state"`
+	Accelerators int    `json:"accelerators"`
+	Checkpoint   int64  `json:"checkpoint,omitempty"`
+	Error        string `json:"error,omitempty"`
+}
+
+// Run announces the worker and expires tasks until ctx ends. Tasks end with
+// it, as on a machine that loses power.
+func (w *Worker) Run(ctx context.Context) error {
+	announce := time.NewTicker(w.opts.Interval)
+	defer announce.Stop()
+	check := time.NewTicker(expiryCheck)
+	defer check.Stop()
+	entry := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-check.C:
+			w.mu.Lock()
+			changed := w.expire(time.Now())
+			w.mu.Unlock()
+			if changed {
+				w.announceSoon()
+			}
+			continue
+		case <-announce.C:
+		case <-w.wake:
+		}
+		entry = w.announce(ctx, entry)
+	}
+}
+
+func (w *Worker) announceSoon() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// announce sends one announcement, to the next entry host when the last one
+// does not answer, and returns the index of the one that answered.
+func (w *Worker) announce(ctx context.Context, entry int) int {
+	if w.currentFaults().Frozen {
+		return entry
+	}
+	body, err := json.Marshal(w.announcement())
+	if err != nil {
+		return entry
+	}
+	for i := range w.opts.Entries {
+		n := (entry + i) % len(w.opts.Entries)
+		if w.post(ctx, w.opts.Entries[n], body) {
+			return n
+		}
+	}
+	w.opts.Log.WithField("worker", w.opts.Name).Warn("no entry host takes the announcement")
+	return entry
+}
+
+func (w *Worker) post(ctx context.Context, entry string, body []byte) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, entry+"/v1/workers", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp, err := w.opts.HTTP.Do(r)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
+func (w *Worker) announcement() announcement {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a := announcement{
+		Name: w.opts.Name, Incarnation: w.opts.Incarnation, Zone: w.opts.Zone, Rack: w.opts.Rack,
+		Address: w.opts.Address, Cores: w.opts.Cores, Memory: w.opts.Memory, Accelerators: w.opts.Accelerators,
+		Clock: time.Since(w.born).Milliseconds(),
+	}
+	for k, t := range w.tasks {
+		a.Tasks = append(a.Tasks, taskReport{
+			Job: k.job, Attempt: k.attempt, Task: k.task, State: string(t.state),
+			Accelerators: t.spec.Accelerators, Checkpoint: w.covered(t).Milliseconds(), Error: t.text,
+		})
+	}
+	return a
+}
+
+// covered returns the run time that the task's last checkpoint covers.
+func (w *Worker) covered(t *task) time.Duration {
+	if t.state == carawayshift.TaskFinished {
+		return t.spec.Run
+	}
+	return t.checkpoint
+}
--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,281 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// Expiry is how long a worker is known after its last announcement:
+	// five announcement intervals, so that four lost ones in a row do not
+	// stop a gang.
+	Expiry = 5 * time.Second
+
+	maxBodyBytes  = 1 << 20
+	maxReplyBytes = 64 << 10
+	idlePerWorker = 4
+)
+
+// Options configures a Client.
+type Options struct {
+	// Zone is the zone of this host.
+	Zone      string
+	Transport carawayshift.Transport
+	// Peers returns the other hosts of the zone.
+	Peers func() []string
+	// Leader returns the leader's host name, or "".
+	Leader func() string
+	// Holder reports whether this host holds the zone lease.
+	Holder func() bool
+	// HTTP sends the task calls; nil is a client of its own.
+	HTTP *http.Client
+	Log  logrus.FieldLogger
+}
+
+// Client knows the workers of this host's zone and, on the leader, the
+// workers of all zones. It implements carawayshift.WorkerClient.
+type Client struct {
+	opts Options
+
+	mu sync.Mutex
+	// workers has the zone's workers by name.
+	workers map[string]carawayshift.Worker
+	// direct has the names whose announcements arrived at this host since
+	// the last share.
+	direct map[string]bool
+	// unknown has, per peer, the names to send whole at the next share.
+	unknown map[string]map[string]bool
+	// zones has, on the leader, each zone's table as of its last digest.
+	zones map[string]zoneTable
+	// sent is the table that the leader has, as far as this host knows.
+	sent   map[string]carawayshift.Worker
+	sentTo string
+	// changed is closed and replaced when a table changes.
+	changed chan struct{}
+}
+
+type zoneTable struct {
+	workers map[string]carawayshift.Worker
+	seen    time.Time
+}
+
+// New returns a client and registers its methods at the transport.
+func New(opts Options) *Client {
+	if opts.HTTP == nil {
+		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idlePerWorker}}
+	}
+	c := &Client{
+		opts:    opts,
+		workers: map[string]carawayshift.Worker{},
+		direct:  map[string]bool{},
+		unknown: map[string]map[string]bool{},
+		zones:   map[string]zoneTable{},
+		sent:    map[string]carawayshift.Worker{},
+		changed: make(chan struct{}),
+	}
+	opts.Transport.Handle("worker.share", c.handleShare)
+	opts.Transport.Handle("worker.digest", c.handleDigest)
+	return c
+}
+
+// ServeHTTP takes one announcement.
+func (c *Client) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var a announcement
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&a)
+	if err != nil {
+		err = carawayshift.NewError(carawayshift.Malformed, "announcement: "+err.Error(), "send JSON of at most 1 MB with the fields of the worker announcement")
+	} else {
+		err = a.validate(c.opts.Zone)
+	}
+	if err != nil {
+		c.opts.Log.WithError(err).Warn("announcement refused")
+		writeError(w, err)
+		return
+	}
+	wk := a.worker()
+	wk.Seen = time.Now()
+	c.learn(wk, true)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// learn stores an announcement unless a newer incarnation is known.
+func (c *Client) learn(w carawayshift.Worker, direct bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old, known := c.workers[w.Name]
+	if known && (old.Incarnation > w.Incarnation || old.Seen.After(w.Seen)) {
+		return
+	}
+	c.workers[w.Name] = w
+	if direct {
+		c.direct[w.Name] = true
+	}
+	if !known || !sameTable(old, w) || !sameTasks(old, w) {
+		c.notify()
+	}
+}
+
+// notify wakes the waiters; c.mu is held.
+func (c *Client) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of a table.
+func (c *Client) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Workers returns the zone's workers whose announcements have not expired, in
+// name order.
+func (c *Client) Workers() []carawayshift.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []carawayshift.Worker
+	for _, w := range c.workers {
+		if time.Since(w.Seen) < Expiry {
+			list = append(list, w)
+		}
+	}
+	sortWorkers(list)
+	return list
+}
+
+// Worker returns one worker of the zone; ok is false when its announcement
+// has expired or it is not known.
+func (c *Client) Worker(name string) (w carawayshift.Worker, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok = c.workers[name]
+	return w, ok && time.Since(w.Seen) < Expiry
+}
+
+// All returns the workers of all zones as far as their digests are fresh.
+// It is meaningful on the leader only.
+func (c *Client) All() []carawayshift.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []carawayshift.Worker
+	for _, z := range c.zones {
+		if time.Since(z.seen) >= Expiry {
+			continue
+		}
+		for _, w := range z.workers {
+			list = append(list, w)
+		}
+	}
+	sortWorkers(list)
+	return list
+}
+
+func sortWorkers(list []carawayshift.Worker) {
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+}
+
+// Prepare reserves accelerators for one task.
+func (c *Client) Prepare(ctx context.Context, w carawayshift.Worker, t carawayshift.TaskSpec, lease time.Duration) error {
+	_, err := c.post(ctx, w, "prepare", call{Tasks: []carawayshift.TaskSpec{t}, Lease: lease.Milliseconds()})
+	return err
+}
+
+// Start starts a prepared task.
+func (c *Client) Start(ctx context.Context, w carawayshift.Worker, t carawayshift.TaskSpec, lease time.Duration) error {
+	_, err := c.post(ctx, w, "start", call{Tasks: []carawayshift.TaskSpec{t}, Lease: lease.Milliseconds()})
+	return err
+}
+
+// Renew extends the leases of all given tasks, or of none. The worker's clock
+// at w.Seen was at least w.Clock, so the lease ends at until or earlier.
+func (c *Client) Renew(ctx context.Context, w carawayshift.Worker, tasks []carawayshift.TaskSpec, until time.Time) error {
+	end := w.Clock + until.Sub(w.Seen)
+	_, err := c.post(ctx, w, "renew", call{Tasks: tasks, Until: end.Milliseconds()})
+	return err
+}
+
+// Checkpoint returns once the task's checkpoint is complete.
+func (c *Client) Checkpoint(ctx context.Context, w carawayshift.Worker, t carawayshift.TaskSpec) (time.Duration, error) {
+	text, err := c.post(ctx, w, "checkpoint", call{Tasks: []carawayshift.TaskSpec{t}})
+	if err != nil {
+		return 0, err
+	}
+	var r result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return 0, carawayshift.NewError(carawayshift.Malformed, "checkpoint on worker "+w.Name+": "+err.Error(), "upgrade the worker")
+	}
+	return time.Duration(r.Checkpoint) * time.Millisecond, nil
+}
+
+// Throttle limits a task to a share of its processor time.
+func (c *Client) Throttle(ctx context.Context, w carawayshift.Worker, t carawayshift.TaskSpec, percent int) error {
+	_, err := c.post(ctx, w, "throttle", call{Tasks: []carawayshift.TaskSpec{t}, Percent: percent})
+	return err
+}
+
+// Stop returns once the task no longer runs. A worker refuses every later
+// call for a stopped attempt, so a delayed start can't follow.
+func (c *Client) Stop(ctx context.Context, w carawayshift.Worker, t carawayshift.TaskSpec) error {
+	_, err := c.post(ctx, w, "stop", call{Tasks: []carawayshift.TaskSpec{t}})
+	return err
+}
+
+// post sends one task call and returns the answer's body. The error has the
+// worker's kind when the worker refused, and OutcomeUnknown when no answer
+// came.
+func (c *Client) post(ctx context.Context, w carawayshift.Worker, verb string, body call) ([]byte, error) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "worker.post")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.Address+"/tasks/"+verb, bytes.NewReader(b))
+	if err != nil {
+		return nil, errors.Wrap(err, "worker.post")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := c.opts.HTTP.Do(r)
+	if err != nil {
+		return nil, unclear(w, verb, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return nil, unclear(w, verb, err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return nil, refused(w, verb, resp.Status, text)
+	}
+	return text, nil
+}
+
+func unclear(w carawayshift.Worker, verb string, err error) error {
+	return carawayshift.NewError(carawayshift.OutcomeUnknown, verb+" on worker "+w.Name+": "+err.Error(), "check that the worker is up")
+}
+
+func refused(w carawayshift.Worker, verb, status string, text []byte) error {
+	var f refusal
+	if json.Unmarshal(text, &f) != nil || f.Kind == "" {
+		f = refusal{Error: status, Kind: string(carawayshift.Refused)}
+	}
+	return carawayshift.NewError(carawayshift.Kind(f.Kind), verb+" on worker "+w.Name+": "+f.Error, f.Remedy)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var e *carawayshift.Error
+	if !errors.As(err, &e) {
+		e = carawayshift.NewError(carawayshift.Malformed, err.Error(), "")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusBadRequest)
+	_ = json.NewEncoder(w).Encode(refusal{Error: e.Text, Kind: string(e.Kind), Remedy: e.Remedy})
+}
--- /dev/null
+++ b/internal/worker/share.go
@@ -0,0 +1,243 @@
+package worker
+
+import (
+	"context"
+	"reflect"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	shareInterval = time.Second
+	callTimeout   = time.Second
+	// forgetAfter removes expired workers from the table. It is long, so
+	// that a restarted worker is compared with its last incarnation.
+	forgetAfter = 10 * time.Minute
+)
+
+// Run shares announcements until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	tick := time.NewTicker(shareInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			c.sharePeers(ctx)
+			c.sendDigest(ctx)
+		}
+	}
+}
+
+// sharePeers passes the announcements of the last interval on to the zone's
+// other hosts, each in its own goroutine so that a frozen host delays no other.
+func (c *Client) sharePeers(ctx context.Context) {
+	peers := c.opts.Peers()
+	for _, peer := range peers {
+		s := c.shareFor(peer)
+		if len(s.Entries) > 0 {
+			go c.sendShare(ctx, peer, s)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.direct = map[string]bool{}
+	for name, w := range c.workers {
+		if time.Since(w.Seen) > forgetAfter {
+			delete(c.workers, name)
+		}
+	}
+}
+
+func (c *Client) shareFor(peer string) share {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var s share
+	for name := range c.direct {
+		w := c.workers[name]
+		e := shareEntry{Name: name, Incarnation: w.Incarnation, Age: time.Since(w.Seen), Clock: w.Clock}
+		// Task reports change often and decide when a gang ends, so a
+		// worker with tasks is always sent whole.
+		if c.unknown[peer][name] || len(w.Tasks) > 0 {
+			e.Worker = &w
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return s
+}
+
+func (c *Client) sendShare(ctx context.Context, peer string, s share) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply shareReply
+	if err := c.callPeer(ctx, peer, "worker.share", s, &reply); err != nil {
+		return
+	}
+	names := map[string]bool{}
+	for _, name := range reply.Unknown {
+		names[name] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unknown[peer] = names
+}
+
+func (c *Client) callPeer(ctx context.Context, peer, method string, body, reply any) error {
+	b, err := carawayshift.Encode(body)
+	if err != nil {
+		return err
+	}
+	b, err = c.opts.Transport.Call(ctx, peer, method, b)
+	if err != nil {
+		return errors.Wrap(err, "worker.callPeer")
+	}
+	return carawayshift.Decode(b, reply)
+}
+
+func (c *Client) handleShare(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var s share
+	if err := carawayshift.Decode(body, &s); err != nil {
+		return nil, err
+	}
+	var reply shareReply
+	for _, e := range s.Entries {
+		if !c.learnShared(e) {
+			reply.Unknown = append(reply.Unknown, e.Name)
+		}
+	}
+	return carawayshift.Encode(reply)
+}
+
+// learnShared returns false when the entry has no worker and this host does
+// not know that incarnation.
+func (c *Client) learnShared(e shareEntry) bool {
+	seen := time.Now().Add(-e.Age)
+	if e.Worker != nil {
+		w := *e.Worker
+		w.Seen = seen
+		c.learn(w, false)
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.workers[e.Name]
+	if !ok || w.Incarnation != e.Incarnation {
+		return false
+	}
+	if seen.After(w.Seen) {
+		w.Seen, w.Clock = seen, e.Clock
+		// The sender sends workers with tasks whole, so this one has none.
+		w.Tasks = nil
+		c.workers[e.Name] = w
+	}
+	return true
+}
+
+// sendDigest sends the zone's changes to the leader.
+func (c *Client) sendDigest(ctx context.Context) {
+	leader := c.opts.Leader()
+	if leader == "" || !c.opts.Holder() {
+		return
+	}
+	d, table := c.digestFor(leader)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply digestReply
+	err := c.callPeer(ctx, leader, "worker.digest", d, &reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil || reply.Resend {
+		c.sentTo = ""
+		return
+	}
+	c.sent, c.sentTo = table, leader
+}
+
+func (c *Client) digestFor(leader string) (digest, map[string]carawayshift.Worker) {
+	table := map[string]carawayshift.Worker{}
+	for _, w := range c.Workers() {
+		w.Tasks, w.Clock = nil, 0
+		table[w.Name] = w
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	base := c.sent
+	if c.sentTo != leader {
+		base = nil
+	}
+	d := digest{Zone: c.opts.Zone, Sum: tableSum(table), Whole: base == nil}
+	for name, w := range table {
+		if old, ok := base[name]; !ok || !sameTable(old, w) {
+			d.Changed = append(d.Changed, w)
+		}
+	}
+	for name := range base {
+		if _, ok := table[name]; !ok {
+			d.Removed = append(d.Removed, name)
+		}
+	}
+	return d, table
+}
+
+func (c *Client) handleDigest(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var d digest
+	if err := carawayshift.Decode(body, &d); err != nil {
+		return nil, err
+	}
+	return carawayshift.Encode(digestReply{Resend: !c.applyDigest(d)})
+}
+
+// applyDigest returns false when the table would differ from the sender's.
+// The zone then keeps its old table until the sender has sent it whole.
+func (c *Client) applyDigest(d digest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	z := c.zones[d.Zone]
+	workers := map[string]carawayshift.Worker{}
+	if !d.Whole {
+		for name, w := range z.workers {
+			workers[name] = w
+		}
+	}
+	for _, w := range d.Changed {
+		workers[w.Name] = w
+	}
+	for _, name := range d.Removed {
+		delete(workers, name)
+	}
+	if tableSum(workers) != d.Sum {
+		return false
+	}
+	c.zones[d.Zone] = zoneTable{workers: workers, seen: time.Now()}
+	if len(d.Changed)+len(d.Removed) > 0 || time.Since(z.seen) >= Expiry {
+		c.notify()
+	}
+	return true
+}
+
+// sameTable compares what digests carry.
+func sameTable(a, b carawayshift.Worker) bool {
+	a.Tasks, b.Tasks = nil, nil
+	a.Clock, b.Clock = 0, 0
+	a.Seen, b.Seen = time.Time{}, time.Time{}
+	return reflect.DeepEqual(a, b)
+}
+
+func sameTasks(a, b carawayshift.Worker) bool { return reflect.DeepEqual(a.Tasks, b.Tasks) }
+
+// tableSum is the sum of the workers' checksums, so that order has no effect.
+func tableSum(workers map[string]carawayshift.Worker) uint64 {
+	var sum uint64
+	for _, w := range workers {
+		b, err := carawayshift.Encode(w)
+		if err != nil {
+			continue
+		}
+		sum += xxhash.Sum64(b)
+	}
+	return sum
+}
--- a/worker.go
+++ b/worker.go
@@ -21,6 +21,8 @@
 	Quarantined bool `cbor:"10,keyasint,omitempty" json:"quarantined,omitempty"`
 	// Tasks lists the tasks that the worker reports as present.
 	Tasks []TaskReport `cbor:"11,keyasint,omitempty" json:"tasks,omitempty"`
+	// Clock is the worker's monotonic clock at the announcement.
+	Clock time.Duration `cbor:"12,keyasint,omitempty" json:"clock,omitempty"`
 	// Seen is the local time at which the last announcement arrived. It is
 	// not sent to other hosts.
 	Seen time.Time `cbor:"-" json:"-"`
