Withdraw placed jobs with a command of their own

Cause: the leader returned jobs that their zone had not started with JobStopped, which is also accepted for running jobs. A start that was accepted just before would then run beside the next attempt. Change: WithdrawJob is accepted for placed jobs only, so the log orders it against StartJob. Ruled out: StopJob, because a zone that is cut off never confirms it.

--- a/command.go
+++ b/command.go
@@ -26,13 +26,16 @@
 // Commands of the scheduler and of zone lease holders. They leave the
 // configuration version as it is.
 const (
-	PlaceJob   CommandKind = "place job"
-	StartJob   CommandKind = "start job"
-	StopJob    CommandKind = "stop job"
-	JobStopped CommandKind = "job stopped"
-	FinishJob  CommandKind = "finish job"
-	FailJob    CommandKind = "fail job"
-	ParkJob    CommandKind = "park job"
+	PlaceJob CommandKind = "place job"
+	// WithdrawJob returns a placed job to waiting. It is refused once the start
+	// was accepted, so nothing of the attempt can run afterwards.
+	WithdrawJob CommandKind = "withdraw job"
+	StartJob    CommandKind = "start job"
+	StopJob     CommandKind = "stop job"
+	JobStopped  CommandKind = "job stopped"
+	FinishJob   CommandKind = "finish job"
+	FailJob     CommandKind = "fail job"
+	ParkJob     CommandKind = "park job"
 	// SaveCheckpoint records the run time that a job's checkpoint covers.
 	SaveCheckpoint   CommandKind = "save checkpoint"
 	QuarantineWorker CommandKind = "quarantine worker"
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		log := s.opts.Logger.WithFields(logrus.Fields{"job": j.ID, "zone": j.Zone})
-		s.propose(ctx, log, "withdraw", carawayshift.JobStopped, carawayshift.JobChange{
+		s.propose(ctx, log, "withdraw", carawayshift.WithdrawJob, carawayshift.JobChange{
 			ID: j.ID, Attempt: j.Attempt, Reason: "zone " + j.Zone + " did not start the job in time",
 		})
 	}
