Add the replicated state machine

Cause: the log needs a state machine that applies the commands of operators, the scheduler and zone lease holders, and the other packages integrate it.

--- /dev/null
+++ b/internal/state/check.go
@@ -0,0 +1,143 @@
+package state
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"carawayshift.example/carawayshift"
+)
+
+// Limits of one command's content.
+const (
+	maxName   = 200
+	maxValue  = 1000
+	maxNote   = 4000
+	maxConfig = 1000
+	// maxTasks is the largest gang that the system is designed for.
+	maxTasks = 64
+	// maxCell bounds the cell sizes and counts of a guarantee, far above the
+	// accelerators of the largest deployment, so that sums can't overflow.
+	maxCell = 1 << 20
+)
+
+const configObjective = "objective"
+
+func malformed(text, remedy string) error {
+	return carawayshift.NewError(carawayshift.Malformed, text, remedy)
+}
+
+func refused(text, remedy string) error {
+	return carawayshift.NewError(carawayshift.Refused, text, remedy)
+}
+
+func notFound(text, remedy string) error {
+	return carawayshift.NewError(carawayshift.NotFound, text, remedy)
+}
+
+// validName accepts letters, digits, and . _ - after the first character, so
+// that every name can be typed in a statement without quotes.
+func validName(s string) bool {
+	if s == "" || len(s) > maxName {
+		return false
+	}
+	for i, r := range s {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !letter && (i == 0 || !strings.ContainsRune("._-", r)) {
+			return false
+		}
+	}
+	return true
+}
+
+func validObjective(s string) bool {
+	o := carawayshift.Objective(s)
+	return o == carawayshift.ObjectiveCompletion || o == carawayshift.ObjectivePacking
+}
+
+func checkTeam(t *carawayshift.Team) error {
+	if t == nil || !validName(t.Name) || t.Limit < 0 {
+		return malformed("a team needs a name and a limit of 0 or more", "type: create team carnival guarantee 2x8, 1x32")
+	}
+	for _, c := range t.Guarantee {
+		if c.Size < 1 || c.Size > maxCell || c.Size&(c.Size-1) != 0 || c.Count < 1 || c.Count > maxCell {
+			return malformed(fmt.Sprintf("guarantee %dx%d is not a count and a power of two", c.Count, c.Size),
+				"write cells as 2x8: two cells of 8 accelerators")
+		}
+	}
+	return nil
+}
+
+func checkJob(j *carawayshift.Job) error {
+	const remedy = "type: create job mask-render team carnival tasks 4 accelerators 8 run 2h"
+	if j == nil || !validName(j.Name) || !validName(j.Team) {
+		return malformed("a job needs a name and a team", remedy)
+	}
+	if j.Tasks < 1 || j.Tasks > maxTasks {
+		return malformed(fmt.Sprintf("a job has 1 to %d tasks, not %d", maxTasks, j.Tasks), remedy)
+	}
+	if j.Accelerators < 1 || j.Accelerators > maxCell || j.Cores < 0 || j.Memory < 0 || j.Declared < 0 {
+		return malformed("a task needs 1 accelerator or more, and no negative amounts", remedy)
+	}
+	return nil
+}
+
+// checkPlacements refuses a placement that is not one per task, or that needs
+// more accelerators of a worker than active jobs leave free. Workers that the
+// command does not carry are not checked for room.
+func (m *Machine) checkPlacements(j carawayshift.Job, c *carawayshift.Command) error {
+	ps := c.Change.Placements
+	if len(ps) != j.Tasks {
+		return refused(fmt.Sprintf("job %d needs %d placements, not %d", j.ID, j.Tasks, len(ps)), "plan again")
+	}
+	tasks, need := make(map[int]bool), make(map[string]int)
+	for _, p := range ps {
+		if tasks[p.Task] || p.Worker == "" || p.Accelerators != j.Accelerators {
+			return refused(fmt.Sprintf("placement of task %d of job %d is not valid", p.Task, j.ID), "plan again")
+		}
+		tasks[p.Task] = true
+		need[p.Worker] += p.Accelerators
+	}
+	for _, w := range c.Workers {
+		n := need[w.Name]
+		if n == 0 {
+			continue
+		}
+		if w.Zone != c.Change.Zone {
+			return refused("worker "+w.Name+" is not in zone "+c.Change.Zone, "plan again")
+		}
+		if used := m.used[w.Name]; used+n > w.Accelerators {
+			return refused(fmt.Sprintf("worker %s has %d accelerators, %d are occupied, %d more are needed",
+				w.Name, w.Accelerators, used, n), "plan again")
+		}
+	}
+	return nil
+}
+
+// checkObject refuses a note on an object that does not exist. Workers,
+// runners and hosts announce themselves and may be absent for a while, so
+// their names are not checked.
+func (m *Machine) checkObject(on string) error {
+	if on == "" {
+		return nil
+	}
+	kind, name, _ := strings.Cut(on, " ")
+	found := validName(name)
+	switch kind {
+	case "job":
+		id, err := strconv.ParseUint(name, 10, 64)
+		_, ok := m.s.Jobs[id]
+		found = err == nil && ok
+	case "team":
+		_, found = m.s.Teams[name]
+	case "zone":
+		_, found = m.s.Zones[name]
+	case "worker", "runner", "host":
+	default:
+		return malformed("a note is on a job, team, zone, worker, runner or host", `type: note on job 41 "text"`)
+	}
+	if !found {
+		return notFound(on+" does not exist", "type: show "+kind+"s")
+	}
+	return nil
+}
