settings: read and check the INI file as a whole

Cause: a host must refuse to start on a wrong file, and an operator should need one round to correct it. Ruled out: loading the file in one go with ini.v1, because it reports neither lines nor more than the first syntax fault and merges duplicate keys silently. Change: Settings, Load, Parse, Faults; the voters of [peers] are the initial members, so [control] holds the data folder only. Conclusion: the sample of three hosts passes; 5 faulty files have golden lists, 10 single changes give exactly one fault each on the right line.

--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,149 @@
+// Package settings reads the INI file of one host and checks it as a whole:
+// every fault of the file is reported at once, with its line and a remedy.
+//
+// # Usage
+//
+//	s, err := settings.Load("/etc/carawayshift/host.ini")
+//	var faults settings.Faults
+//	if errors.As(err, &faults) {
+//		for _, f := range faults {
+//			fmt.Println(f)
+//		}
+//	}
+//
+// The sections [zones] and [peers] are the same on all hosts of a deployment;
+// the others describe this host. testdata/three.ini is a complete example.
+// Sizes take the suffixes KB and MB (2^10 and 2^20 bytes), durations are
+// written as in Go ("30s").
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Settings are the checked settings of one host.
+type Settings struct {
+	Host     Host
+	Listen   Listen
+	TLS      TLS
+	Control  Control
+	Requests Requests
+	Log      Log
+	// Zones maps each zone of the deployment to its region.
+	Zones map[string]string
+	// Peers lists all hosts of the deployment, this one included, by name.
+	Peers []Peer
+}
+
+// Host says who this host is.
+type Host struct {
+	Name   string
+	Zone   string
+	Region string
+	// Addresses are the IP addresses by which other machines reach this host.
+	Addresses []netip.Addr
+}
+
+// Listen holds the addresses on which this host listens.
+type Listen struct {
+	// HTTP serves callers, targets and the platform (TCP).
+	HTTP netip.AddrPort
+	// Operators serves the command language (TCP).
+	Operators netip.AddrPort
+	// Peers serves the other hosts (UDP).
+	Peers netip.AddrPort
+}
+
+// TLS names the files that `carawayshift keys` writes.
+type TLS struct {
+	CA   string
+	Cert string
+	Key  string
+}
+
+// Control is set on control hosts. Data is empty on all others.
+type Control struct {
+	Data string
+	// Voters are the initial members of the replicated group: the peers that
+	// are marked as voters, by name.
+	Voters []string
+}
+
+// Requests holds limits of the callers' interface.
+type Requests struct {
+	// Body is the largest request body in bytes.
+	Body int64
+	// Queue is the largest number of waiting requests.
+	Queue int
+	// Deadline applies to requests that name none.
+	Deadline time.Duration
+}
+
+// Log configures the log lines.
+type Log struct {
+	// Level is a logrus level.
+	Level string
+	// Format is "text" or "json".
+	Format string
+}
+
+// Peer is one host of the deployment.
+type Peer struct {
+	Name   string
+	Zone   string
+	Region string
+	// Peers is the UDP address for other hosts, HTTP the TCP address for
+	// requests that are passed on.
+	Peers netip.AddrPort
+	HTTP  netip.AddrPort
+	Voter bool
+}
+
+// Load reads and checks a file. The error is of type Faults when the file can
+// be read.
+func Load(path string) (Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "settings.Load")
+	}
+	return Parse(b)
+}
+
+// Parse checks the contents of a file. The error is of type Faults.
+func Parse(b []byte) (Settings, error) {
+	c := scan(b)
+	s := defaults()
+	c.readHost(&s.Host)
+	c.readListen(&s.Listen)
+	c.readTLS(&s.TLS)
+	c.readControl(&s.Control)
+	c.readRequests(&s.Requests)
+	c.readLog(&s.Log)
+	c.readZones(&s)
+	c.readPeers(&s)
+	c.checkSelf(&s)
+	c.checkVoters(&s)
+	if len(c.faults) > 0 {
+		return Settings{}, c.sorted()
+	}
+	return s, nil
+}
+
+func defaults() Settings {
+	any4 := netip.IPv4Unspecified()
+	local := netip.MustParseAddr("127.0.0.1")
+	return Settings{
+		Listen: Listen{
+			HTTP:      netip.AddrPortFrom(any4, 8480),
+			Operators: netip.AddrPortFrom(local, 8481),
+			Peers:     netip.AddrPortFrom(any4, 8482),
+		},
+		Requests: Requests{Body: 4 << 20, Queue: 256, Deadline: 30 * time.Second},
+		Log:      Log{Level: "info", Format: "text"},
+		Zones:    map[string]string{},
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+func TestSampleDeploymentPasses(t *testing.T) {
+	g := NewWithT(t)
+	s, err := Load("testdata/three.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Control.Voters).To(Equal([]string{"bel1", "lav1", "san1"}))
+	g.Expect(s.Zones).To(HaveKeyWithValue("san-fernando", "south"))
+	g.Expect(s.Requests).To(Equal(Requests{Body: 4 << 20, Queue: 256, Deadline: 30 * time.Second}))
+	g.Expect(s.Listen.Peers.Port()).To(BeEquivalentTo(8482))
+	g.Expect(s.Peers).To(HaveLen(3))
+}
+
+// Guards against a fault that hides another one, and against lines, values or
+// remedies that are lost. Each file under testdata/faulty has a golden list.
+func TestFaultyFiles(t *testing.T) {
+	files, err := filepath.Glob("testdata/faulty/*.ini")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("found %d faulty files: %v", len(files), err)
+	}
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := Load(path)
+			g.Expect(err).To(BeAssignableToTypeOf(Faults{}))
+			name := strings.TrimSuffix(filepath.Base(path), ".ini")
+			goldie.New(t, goldie.WithFixtureDir("testdata/faulty")).Assert(t, name, []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+// Guards against single changes of the sample that are accepted, or reported
+// on the wrong line or more than once.
+func TestSingleFaults(t *testing.T) {
+	sample, err := os.ReadFile("testdata/three.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ name, old, new, want string }{
+		{"unknown key", "queue    =", "queues   =", "line 24: [requests] queues = \"256\" unknown key"},
+		{"unknown section", "[log]", "[logs]", "line 27: [logs] unknown section"},
+		{"duplicate key", "queue    = 256", "body = 1MB", "line 24: [requests] body = \"1MB\" key appears twice, first on line 23"},
+		{"bad port", "127.0.0.1:8481", "127.0.0.1", "line 11: [listen] operators = \"127.0.0.1\" is not IP:port"},
+		{"relative path", "ca   = /etc", "ca = etc", "line 15: [tls] ca = \"etc/carawayshift/ca.pem\" is not an absolute path"},
+		{"even voters", "8480, voter yes\nbel1 =", "8480, voter no\nbel1 =", "[peers] 2 voters"},
+		{"wrong region", "belmont, north, 192", "belmont, south, 192", "line 38: [peers] bel1"},
+		{"own host absent", "name      = lav1", "name = lav9", "line 4: [host] name = \"lav9\" is not listed"},
+		{"too long a deadline", "30s", "30h", "line 25: [requests] deadline = \"30h\" is not a duration"},
+		{"overflowing size", "4MB", "99999999999999999999MB", "line 23: [requests] body"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			text := strings.Replace(string(sample), tt.old, tt.new, 1)
+			g.Expect(text).NotTo(Equal(string(sample)))
+			_, err := Parse([]byte(text))
+			g.Expect(err).To(MatchError(ContainSubstring(tt.want)))
+			g.Expect(err).To(HaveLen(1))
+		})
+	}
+}
