--- /dev/null
+++ b/internal/keys/tls.go
@@ -0,0 +1,71 @@
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+)
+
+// protocol is the ALPN name. Its number rises when the frame format changes
+// in a way that older hosts can't refuse by the frame's version byte.
+const protocol = "carawayshift/1"
+
+// Load reads the files that Settings.TLS names and returns the configurations
+// for accepting and for dialling. It refuses a key that other users can read.
+func Load(caFile, certFile, keyFile string) (server, client *tls.Config, err error) {
+	info, err := os.Stat(keyFile)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "keys.Load")
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, nil, carawayshift.NewError(carawayshift.Refused, keyFile+" can be read by other users", "run chmod 600 "+keyFile)
+	}
+	ca, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "keys.Load")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, nil, carawayshift.NewError(carawayshift.Malformed, caFile+" holds no certificate", "copy ca.pem of the deployment there")
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "keys.Load")
+	}
+	server, client = Configs(pool, cert)
+	return server, client, nil
+}
+
+// Configs returns the configurations for accepting and for dialling. Both
+// ends verify the other's certificate against the pool. A dialler sets
+// ServerName to the name of the host that it expects.
+func Configs(pool *x509.CertPool, cert tls.Certificate) (server, client *tls.Config) {
+	server = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		NextProtos:   []string{protocol},
+		// A resumed session would not be checked against the pool again.
+		SessionTicketsDisabled: true,
+	}
+	client = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		NextProtos:   []string{protocol},
+	}
+	return server, client
+}
+
+// PeerName returns the host name in the verified certificate of the other end.
+func PeerName(s tls.ConnectionState) (string, error) {
+	if len(s.VerifiedChains) == 0 || len(s.PeerCertificates) == 0 || len(s.PeerCertificates[0].DNSNames) != 1 {
+		return "", carawayshift.NewError(carawayshift.Refused, "the peer's certificate names no host", "issue it with `carawayshift keys`")
+	}
+	return s.PeerCertificates[0].DNSNames[0], nil
+}
