host: call between hosts over QUIC with mutual TLS, zone membership

Cause: all other parts need a transport whose NotRun can be trusted. Ruled out: one fixed dialler per pair, since the other end could not call after its own restart until the dialler noticed; a short QUIC idle timeout for dead paths, since its keep-alive costs more than closing a connection on which a call of 1 s saw no packet. Calls in both directions use the newest connection of either end. A frame has a length, a version and a checksum; the handler runs after its last byte only, so a frame that was not handed over whole is NotRun.

--- /dev/null
+++ b/internal/host/frame.go
@@ -0,0 +1,91 @@
+package host
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+// A frame is the only content of each direction of a stream:
+//
+//	length   4 bytes, big endian, of the payload
+//	version  1 byte
+//	checksum 8 bytes, big endian, xxhash64 of version and payload
+//	payload  CBOR of request or reply
+const (
+	frameVersion = 1
+	headerSize   = 4 + 1 + 8
+	// maxFrame bounds the memory that one stream of a peer can claim. The
+	// largest bodies are batches and snapshot chunks, which are cut to 1 MB.
+	maxFrame = 2 << 20
+)
+
+// Reasons for refusing a frame; they are values of a metrics label.
+var (
+	errTooLong  = errors.New("too long")
+	errVersion  = errors.New("unknown version")
+	errChecksum = errors.New("wrong checksum")
+	errTrailing = errors.New("trailing bytes")
+	errShort    = errors.New("cut short")
+	errPayload  = errors.New("unreadable payload")
+)
+
+func encodeFrame(payload []byte) ([]byte, error) {
+	if len(payload) > maxFrame {
+		return nil, errTooLong
+	}
+	b := make([]byte, headerSize, headerSize+len(payload))
+	binary.BigEndian.PutUint32(b, uint32(len(payload)))
+	b[4] = frameVersion
+	binary.BigEndian.PutUint64(b[5:], checksum(frameVersion, payload))
+	return append(b, payload...), nil
+}
+
+func checksum(version byte, payload []byte) uint64 {
+	d := xxhash.New()
+	_, _ = d.Write([]byte{version})
+	_, _ = d.Write(payload)
+	return d.Sum64()
+}
+
+// decodeFrame reads one frame up to the end of the stream. Memory grows with
+// the bytes that arrive, not with the length that the header claims.
+func decodeFrame(r io.Reader) ([]byte, error) {
+	var h [headerSize]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return nil, shortOr(err)
+	}
+	n := binary.BigEndian.Uint32(h[:])
+	switch {
+	case n > maxFrame:
+		return nil, errTooLong
+	case h[4] != frameVersion:
+		return nil, errVersion
+	}
+	payload, err := io.ReadAll(io.LimitReader(r, int64(n)+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(payload) < int(n):
+		return nil, errShort
+	case len(payload) > int(n):
+		return nil, errTrailing
+	case checksum(h[4], payload) != binary.BigEndian.Uint64(h[5:]):
+		return nil, errChecksum
+	}
+	return payload, nil
+}
+
+func shortOr(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errShort
+	}
+	return err
+}
+
+// isRefused tells a frame that breaks the format from a stream that failed.
+func isRefused(err error) bool {
+	return errors.IsAny(err, errTooLong, errVersion, errChecksum, errTrailing, errShort, errPayload)
+}
--- /dev/null
+++ b/internal/host/peer.go
@@ -0,0 +1,146 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"carawayshift.example/carawayshift"
+)
+
+const (
+	codeClosed      quic.ApplicationErrorCode = 0
+	codeUnknownPeer quic.ApplicationErrorCode = 1
+	codeDeadPath    quic.ApplicationErrorCode = 2
+
+	backoffMin = 100 * time.Millisecond
+	// backoffMax bounds how long a peer that returned is still refused. An
+	// attempt costs about 1.3 KB.
+	backoffMax = 3 * time.Second
+)
+
+// peer holds the connections to one host. More than one exists after both
+// ends dialled at once, or while the older one is still to time out.
+type peer struct {
+	Peer
+
+	mu sync.Mutex
+	// conns is in the order of arrival; calls take the last live one.
+	conns []*quic.Conn
+	// dialling is closed when the attempt in progress ends.
+	dialling chan struct{}
+	failures int
+	nextDial time.Time
+	lastErr  error
+}
+
+func (p *peer) add(conn *quic.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(slices.DeleteFunc(p.conns, isClosed), conn)
+	p.failures = 0
+	p.nextDial = time.Time{}
+}
+
+func isClosed(c *quic.Conn) bool { return c.Context().Err() != nil }
+
+// live returns the newest live connection, or nil.
+func (p *peer) live() *quic.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = slices.DeleteFunc(p.conns, isClosed)
+	if len(p.conns) == 0 {
+		return nil
+	}
+	return p.conns[len(p.conns)-1]
+}
+
+func (p *peer) closeAll() {
+	p.mu.Lock()
+	conns := slices.Clone(p.conns)
+	p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.CloseWithError(codeClosed, "closed")
+	}
+}
+
+// connect returns a live connection and dials when there is none. Its errors
+// have kind NotRun.
+func (m *Mesh) connect(ctx context.Context, p *peer) (*quic.Conn, error) {
+	for {
+		if c := p.live(); c != nil {
+			return c, nil
+		}
+		done, err := m.dialling(p)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return nil, notRun(p.Name, ctx.Err())
+		}
+	}
+}
+
+// dialling returns the channel of the attempt in progress and starts one when
+// it is due.
+func (m *Mesh) dialling(p *peer) (<-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dialling != nil {
+		return p.dialling, nil
+	}
+	if m.ctx.Err() != nil {
+		return nil, notRun(p.Name, m.ctx.Err())
+	}
+	if time.Now().Before(p.nextDial) {
+		return nil, notRun(p.Name, p.lastErr)
+	}
+	done := make(chan struct{})
+	p.dialling = done
+	m.spawn(func() { m.dial(p, done) })
+	return done, nil
+}
+
+func (m *Mesh) dial(p *peer, done chan struct{}) {
+	tlsConf := m.cfg.Client.Clone()
+	tlsConf.ServerName = p.Name
+	conn, err := m.quic.Dial(m.ctx, p.Addr, tlsConf, quicConfig())
+	if err == nil {
+		p.add(conn)
+		m.spawn(func() { m.serve(p, conn) })
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(done)
+	p.dialling = nil
+	if err == nil {
+		return
+	}
+	m.count("carawayshift_mesh_dial_failures_total", "peer", p.Name)
+	p.lastErr = err
+	p.nextDial = time.Now().Add(backoff(p.failures))
+	p.failures++
+}
+
+// backoff doubles from backoffMin to backoffMax, with a jitter of half.
+func backoff(failures int) time.Duration {
+	d := backoffMax
+	if failures < 5 {
+		d = backoffMin << failures
+	}
+	return d/2 + rand.N(d/2)
+}
+
+func notRun(host string, err error) error {
+	text := "host " + host + " can't be reached"
+	if err != nil {
+		text += ": " + err.Error()
+	}
+	return carawayshift.NewError(carawayshift.NotRun, text, "resend later, or check the host and the link to it")
+}
