--- /dev/null
+++ b/pkg/journal/fs.go
@@ -0,0 +1,83 @@
+package journal
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// FS is the file access that a journal needs. Names are full paths. What was
+// written is durable only after File.Sync, and a created, renamed or removed
+// name only after SyncDir of its folder.
+type FS interface {
+	MkdirAll(dir string) error
+	// List returns the base names of the files in a folder.
+	List(dir string) ([]string, error)
+	ReadFile(name string) ([]byte, error)
+	// Create makes an empty file, or empties an existing one.
+	Create(name string) (File, error)
+	// Append opens an existing file for writing at its end.
+	Append(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncDir(dir string) error
+}
+
+// File is an open file of an FS.
+type File interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
+// osFS is the FS of the operating system.
+type osFS struct{}
+
+const (
+	dirMode  = 0o700
+	fileMode = 0o600
+)
+
+// MkdirAll syncs the parent too, so that a new data folder survives a crash.
+func (o osFS) MkdirAll(dir string) error {
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return errors.Wrap(err, "journal.MkdirAll")
+	}
+	return o.SyncDir(filepath.Dir(filepath.Clean(dir)))
+}
+
+func (osFS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, errors.Wrap(err, "journal.List")
+}
+
+func (osFS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+func (osFS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+}
+
+func (osFS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_APPEND|os.O_WRONLY, fileMode)
+}
+
+func (osFS) Rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFS) Remove(name string) error { return os.Remove(name) }
+
+func (osFS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "journal.SyncDir")
+	}
+	err = d.Sync()
+	return errors.Wrap(errors.CombineErrors(err, d.Close()), "journal.SyncDir")
+}
--- /dev/null
+++ b/pkg/journal/load.go
@@ -0,0 +1,226 @@
+package journal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+)
+
+// remedy is the way back for a host whose folder can't be trusted.
+const remedy = "restore no old copy; remove this host from the voters, empty its data folder, start it and add it again as a learner"
+
+func damaged(name, what string) error {
+	return carawayshift.NewError(carawayshift.Malformed, "journal file "+name+": "+what, remedy)
+}
+
+// load reads the folder. A name that ends in .tmp was never renamed and is
+// not part of the journal.
+func (j *Journal) load() error {
+	names, err := j.fs.List(j.dir)
+	if err != nil {
+		return err
+	}
+	slices.Sort(names)
+	var logs, snaps []string
+	hasState := false
+	for _, name := range names {
+		switch {
+		case name == stateFile:
+			hasState = true
+		case strings.HasSuffix(name, logSuffix):
+			logs = append(logs, name)
+		case strings.HasSuffix(name, snapSuffix):
+			snaps = append(snaps, name)
+		}
+	}
+	if !hasState && len(logs)+len(snaps) > 0 {
+		return damaged(stateFile, "it is missing beside log files")
+	}
+	if !hasState {
+		return j.initialize()
+	}
+	return j.loadAll(logs, snaps)
+}
+
+// initialize gives an empty folder its identity.
+func (j *Journal) initialize() error {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return err
+	}
+	j.hard.Identity = binary.LittleEndian.Uint64(b[:]) | 1 // never 0
+	return j.SetHard(j.hard)
+}
+
+func (j *Journal) loadAll(logs, snaps []string) error {
+	if err := j.loadState(); err != nil {
+		return err
+	}
+	if err := j.loadSnapshot(snaps); err != nil {
+		return err
+	}
+	for i, name := range logs {
+		if err := j.loadSegment(name, i == len(logs)-1); err != nil {
+			return err
+		}
+	}
+	return j.reconcile()
+}
+
+func (j *Journal) loadState() error {
+	b, err := j.fs.ReadFile(j.path(stateFile))
+	if err != nil {
+		return err
+	}
+	body, _, err := cutRecord(b)
+	if err != nil {
+		return damaged(stateFile, "checksum mismatch")
+	}
+	return carawayshift.Decode(body, &j.hard)
+}
+
+// loadSnapshot takes the newest snapshot. An older one is left over from a
+// crash and is removed by no one but the next SaveSnapshot's successor, so it
+// is removed here.
+func (j *Journal) loadSnapshot(names []string) error {
+	for i, name := range names {
+		if i < len(names)-1 {
+			if err := j.fs.Remove(j.path(name)); err != nil {
+				return err
+			}
+			continue
+		}
+		index, err := strconv.ParseUint(strings.TrimSuffix(name, snapSuffix), 16, 64)
+		if err != nil {
+			return damaged(name, "not a name of this journal")
+		}
+		s, err := j.readSnapshot(index)
+		if err != nil {
+			return err
+		}
+		s.Data = nil
+		j.snap = s
+	}
+	return nil
+}
+
+func (j *Journal) readSnapshot(index uint64) (Snapshot, error) {
+	name := snapshotName(index)
+	b, err := j.fs.ReadFile(j.path(name))
+	if err != nil {
+		return Snapshot{}, err
+	}
+	body, _, err := cutRecord(b)
+	if err != nil {
+		return Snapshot{}, damaged(name, "checksum mismatch")
+	}
+	var s Snapshot
+	if err := carawayshift.Decode(body, &s); err != nil {
+		return Snapshot{}, err
+	}
+	if s.Index != index {
+		return Snapshot{}, damaged(name, "holds the snapshot of another index")
+	}
+	return s, nil
+}
+
+// loadSegment replays one file. Only in the newest file can a record be torn.
+func (j *Journal) loadSegment(name string, newest bool) error {
+	number, err := strconv.ParseUint(name[:strings.IndexAny(name, "-.")], 16, 64)
+	if err != nil {
+		return damaged(name, "not a name of this journal")
+	}
+	j.number = max(j.number, number)
+	b, err := j.fs.ReadFile(j.path(name))
+	if err != nil {
+		return err
+	}
+	s := segment{name: name}
+	rest := b
+	for len(rest) > 0 {
+		body, next, err := cutRecord(rest)
+		if err != nil {
+			break
+		}
+		if err := j.replay(name, body, &s); err != nil {
+			return err
+		}
+		rest = next
+	}
+	s.size = int64(len(b) - len(rest))
+	j.segments = append(j.segments, s)
+	if len(rest) > 0 && (!newest || hasRecord(rest[1:])) {
+		return damaged(name, "checksum mismatch at byte "+strconv.FormatInt(s.size, 10))
+	}
+	if !newest {
+		return nil
+	}
+	return j.openNewest(s, len(rest) > 0)
+}
+
+func (j *Journal) replay(name string, body []byte, s *segment) error {
+	entries, err := decodeBatch(body)
+	if err != nil || len(entries) == 0 {
+		return damaged(name, "a record can't be decoded")
+	}
+	s.last = max(s.last, entries[len(entries)-1].Index)
+	first := entries[0].Index
+	switch {
+	case len(j.entries) == 0 || first < j.entries[0].Index:
+		j.entries = entries
+	case first <= j.last()+1:
+		j.entries = splice(j.entries, entries)
+	case first <= j.snap.Index+1:
+		j.entries = entries // the snapshot covers the gap
+	default:
+		return damaged(name, "entries are missing before index "+strconv.FormatUint(first, 10))
+	}
+	return nil
+}
+
+// openNewest cuts off a torn record and opens the file for appending.
+func (j *Journal) openNewest(s segment, torn bool) error {
+	f, err := j.fs.Append(j.path(s.name))
+	if err != nil {
+		return err
+	}
+	j.open = f
+	if !torn {
+		return nil
+	}
+	if err := f.Truncate(s.size); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
+// reconcile brings log and snapshot together after a crash between the two.
+// Entries before the first one that follows the snapshot may be compacted.
+func (j *Journal) reconcile() error {
+	if len(j.entries) == 0 {
+		return nil
+	}
+	first, last := j.entries[0].Index, j.entries[len(j.entries)-1].Index
+	if first > j.snap.Index+1 {
+		return damaged(j.segments[0].name, "the snapshot before its first entry is missing")
+	}
+	if j.snap.Index == 0 || first > j.snap.Index {
+		return nil
+	}
+	if last >= j.snap.Index && j.entries[j.snap.Index-first].Term == j.snap.Term {
+		return nil
+	}
+	drop := j.segments
+	j.segments, j.entries = nil, nil
+	if err := errors.Wrap(j.open.Close(), "journal.reconcile"); err != nil {
+		return err
+	}
+	j.open = nil
+	return j.removeSegments(drop)
+}
