--- /dev/null
+++ b/pkg/replica/apply.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift/pkg/journal"
+)
+
+// applyBatch bounds the entries that are read from the journal at a time.
+const applyBatch = 256
+
+// runApply is the only caller of the state machine after New.
+func (r *Replica) runApply(ctx context.Context) {
+	for {
+		err := r.await(ctx, func() bool { return r.restore != nil || r.commit > r.applied })
+		if err != nil {
+			return
+		}
+		if err := r.applyNext(ctx); err != nil {
+			_ = r.fail(err)
+			return
+		}
+	}
+}
+
+func (r *Replica) applyNext(ctx context.Context) error {
+	r.mu.Lock()
+	snap, from, commit := r.restore, r.applied+1, r.commit
+	r.mu.Unlock()
+	if snap != nil {
+		return r.applySnapshot(snap)
+	}
+	entries, err := r.journal.Entries(from, min(applyBatch, int(commit-from)+1), maxAppendBytes)
+	if errors.Is(err, journal.ErrCompacted) {
+		// A snapshot was stored meanwhile; it waits in r.restore, or will.
+		return r.await(ctx, func() bool { return r.restore != nil })
+	}
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		r.applyEntry(e)
+	}
+	return r.maybeSnapshot(ctx)
+}
+
+func (r *Replica) applyEntry(e journal.Entry) {
+	var result []byte
+	if e.Kind == KindCommand {
+		result = r.machine.Apply(e.Index, e.Data)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied = e.Index
+	r.logBytes += int64(len(e.Data))
+	if p := r.waiters[e.Index]; p != nil {
+		delete(r.waiters, e.Index)
+		if p.term == e.Term {
+			p.finish(result, nil)
+		} else {
+			p.finish(nil, notRun("another leader's entry took the place of the command", retryRemedy))
+		}
+	}
+	r.notify()
+}
+
+// applySnapshot replaces the state by a received snapshot.
+func (r *Replica) applySnapshot(s *journal.Snapshot) error {
+	r.mu.Lock()
+	skip := s.Index <= r.applied
+	r.mu.Unlock()
+	if !skip {
+		if err := r.machine.Restore(bytes.NewReader(s.Data)); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.restore == s {
+		r.restore = nil
+	}
+	r.applied = max(r.applied, s.Index)
+	r.commit = max(r.commit, r.applied)
+	for index, p := range r.waiters {
+		if index <= s.Index {
+			delete(r.waiters, index)
+			p.finish(nil, unknown("the command's result is inside a snapshot"))
+		}
+	}
+	r.notify()
+	return nil
+}
+
+// maybeSnapshot stores a snapshot and compacts the log when enough entries
+// were applied since the last one.
+func (r *Replica) maybeSnapshot(ctx context.Context) error {
+	r.mu.Lock()
+	index := r.applied
+	due := index-r.snapIndex >= r.cfg.SnapshotEntries || r.logBytes >= r.cfg.SnapshotBytes
+	list := r.configAt(index)
+	r.mu.Unlock()
+	if !due {
+		return nil
+	}
+	var b bytes.Buffer
+	if err := r.machine.Snapshot(&b); err != nil {
+		return err
+	}
+	members, err := encodeMembers(list)
+	if err != nil {
+		return err
+	}
+	if r.lockDisk(ctx) != nil {
+		return nil
+	}
+	defer r.unlockDisk()
+	term, ok := r.journal.Term(index)
+	if !ok {
+		return nil // a newer snapshot was received meanwhile
+	}
+	s := journal.Snapshot{Index: index, Term: term, Membership: members, Data: b.Bytes()}
+	if err := r.journal.SaveSnapshot(s); err != nil {
+		return err
+	}
+	r.noteSnapshot(index)
+	return r.journal.Compact(index - min(index, r.cfg.KeepEntries))
+}
+
+func (r *Replica) noteSnapshot(index uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.snapIndex = max(r.snapIndex, index)
+	r.logBytes = 0
+	r.pruneConfigs()
+}
--- /dev/null
+++ b/pkg/replica/fake_test.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+)
+
+// network is an in-memory carawayshift.Transport for all hosts of a test.
+type network struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	hosts  map[string]*endpoint
+	cut    map[[2]string]bool // one direction each
+	frozen map[string]chan struct{}
+	drop   float64 // share of lost messages, requests and replies alike
+	dup    float64
+	delay  func(from, to string) time.Duration
+	bytes  map[string]int // sent and received by each host, payload only
+	calls  int
+}
+
+// endpoint is the transport of one process; a restart of the host makes a new
+// one.
+type endpoint struct {
+	n        *network
+	host     string
+	handlers map[string]carawayshift.Handler
+}
+
+func newNetwork(seed uint64) *network {
+	n := &network{
+		rng: rand.New(rand.NewPCG(seed, 1)), hosts: map[string]*endpoint{},
+		cut: map[[2]string]bool{}, frozen: map[string]chan struct{}{}, bytes: map[string]int{},
+	}
+	n.delay = func(string, string) time.Duration { return time.Millisecond }
+	return n
+}
+
+func (n *network) endpoint(host string) *endpoint {
+	return &endpoint{n: n, host: host, handlers: map[string]carawayshift.Handler{}}
+}
+
+// listen lets calls reach a host, or no process of it when e is nil.
+func (n *network) listen(host string, e *endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[host] = e
+}
+
+func (e *endpoint) Handle(method string, fn carawayshift.Handler) { e.handlers[method] = fn }
+
+// carry moves one message. It reports false when the message is lost.
+func (n *network) carry(from, to string, size int) (lost, twice bool) {
+	n.gate(from)
+	n.mu.Lock()
+	n.bytes[from] += size
+	n.bytes[to] += size
+	lost = n.rng.Float64() < n.drop
+	twice = n.rng.Float64() < n.dup
+	d := n.delay(from, to)
+	n.mu.Unlock()
+	time.Sleep(d)
+	n.gate(to)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return lost || n.cut[[2]string{from, to}], twice
+}
+
+// gate blocks while the host is frozen.
+func (n *network) gate(host string) {
+	for {
+		n.mu.Lock()
+		ch := n.frozen[host]
+		n.mu.Unlock()
+		if ch == nil {
+			return
+		}
+		<-ch
+	}
+}
+
+func (n *network) freeze(host string) (thaw func()) {
+	ch := make(chan struct{})
+	n.mu.Lock()
+	n.frozen[host] = ch
+	n.mu.Unlock()
+	return func() {
+		n.mu.Lock()
+		delete(n.frozen, host)
+		n.mu.Unlock()
+		close(ch)
+	}
+}
+
+type reply struct {
+	body []byte
+	err  error
+}
+
+// Call loses, delays and repeats messages. The caller learns of a loss only
+// by its deadline.
+func (e *endpoint) Call(ctx context.Context, host, method string, body []byte) ([]byte, error) {
+	if _, ok := ctx.Deadline(); !ok {
+		panic("a call without a deadline: " + method)
+	}
+	got := make(chan reply, 2)
+	go e.send(ctx, host, method, body, got)
+	select {
+	case r := <-got:
+		e.n.gate(e.host)
+		return r.body, r.err
+	case <-ctx.Done():
+		e.n.gate(e.host)
+		return nil, carawayshift.NewError(carawayshift.OutcomeUnknown, "no reply", "")
+	}
+}
+
+func (e *endpoint) send(ctx context.Context, host, method string, body []byte, got chan reply) {
+	lost, twice := e.n.carry(e.host, host, len(body)+len(method))
+	if lost {
+		return
+	}
+	e.n.mu.Lock()
+	to := e.n.hosts[host]
+	e.n.calls++
+	e.n.mu.Unlock()
+	if to == nil {
+		return
+	}
+	if twice {
+		go func() { _, _ = to.handlers[method](ctx, e.host, bytes.Clone(body)) }()
+	}
+	b, err := to.handlers[method](ctx, e.host, bytes.Clone(body))
+	e.n.mu.Lock()
+	same := e.n.hosts[host] == to
+	e.n.mu.Unlock()
+	if !same {
+		return // the process died before it answered
+	}
+	if lost, _ := e.n.carry(host, e.host, len(b)); !lost {
+		got <- reply{b, err}
+	}
+}
+
+// registers is the state machine under test: a map with compare-and-set that
+// remembers the answer to each command id.
+type registers struct {
+	mu      sync.Mutex
+	state   registerState
+	applied uint64
+}
+
+type registerState struct {
+	Version uint64                         `cbor:"1,keyasint"`
+	Values  map[string]string              `cbor:"2,keyasint"`
+	Answers map[string]carawayshift.Answer `cbor:"3,keyasint"`
+}
+
+func newRegisters() *registers {
+	return &registers{state: registerState{Values: map[string]string{}, Answers: map[string]carawayshift.Answer{}}}
+}
+
+// Apply takes a command of kind "set config": Name is the key, Because the
+// expected value ("*" for any), Value the new one.
+func (m *registers) Apply(index uint64, entry []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var c carawayshift.Command
+	if err := carawayshift.Decode(entry, &c); err != nil {
+		panic(err)
+	}
+	a, ok := m.state.Answers[c.ID]
+	if !ok {
+		a = m.change(index, c)
+		m.state.Answers[c.ID] = a
+	}
+	if index <= m.applied {
+		panic("an index was applied twice")
+	}
+	m.applied = index
+	b, err := carawayshift.Encode(a)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func (m *registers) change(index uint64, c carawayshift.Command) carawayshift.Answer {
+	old := m.state.Values[c.Name]
+	if c.Because != "*" && c.Because != old {
+		return carawayshift.Answer{ID: c.ID, Index: index, Version: m.state.Version, Kind: carawayshift.Conflict, Winner: old}
+	}
+	m.state.Version++
+	m.state.Values[c.Name] = c.Value
+	return carawayshift.Answer{ID: c.ID, Index: index, Version: m.state.Version, Winner: old}
+}
+
+func (m *registers) Snapshot(w io.Writer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, err := carawayshift.Encode(m.state)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(b)
+	return err
+}
+
+func (m *registers) Restore(rd io.Reader) error {
+	b, err := io.ReadAll(rd)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var s registerState
+	if err := carawayshift.Decode(b, &s); err != nil {
+		return err
+	}
+	if s.Version < m.state.Version {
+		return errors.New("the version went down")
+	}
+	m.state = s
+	return nil
+}
+
+func (m *registers) get(key string) (value string, version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Values[key], m.state.Version
+}
+
+func (m *registers) bytes() []byte {
+	var b bytes.Buffer
+	if err := m.Snapshot(&b); err != nil {
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+// quiet keeps the log of the replicas out of the test output.
+func quiet() logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
--- /dev/null
+++ b/pkg/replica/group_test.go
@@ -0,0 +1,182 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/journal"
+	"carawayshift.example/carawayshift/pkg/journal/memdisk"
+)
+
+// group is a set of hosts in one process and one synctest bubble.
+type group struct {
+	t     testing.TB
+	ctx   context.Context
+	rng   *rand.Rand
+	net   *network
+	cfg   Config
+	nodes map[string]*node
+	names []string
+}
+
+// node is one host; its disk outlives its process.
+type node struct {
+	name    string
+	disk    *memdisk.Disk
+	r       *Replica
+	machine *registers
+	j       *journal.Journal
+	stop    func()
+}
+
+// inBubble runs fn in paused time with a group that ends before the bubble.
+func inBubble(t *testing.T, seed uint64, size int, cfg Config, fn func(g *group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, seed, size, cfg)
+		fn(g)
+		g.close()
+	})
+}
+
+func newGroup(t testing.TB, seed uint64, size int, cfg Config) *group {
+	g := &group{t: t, rng: rand.New(rand.NewPCG(seed, 2)), net: newNetwork(seed), cfg: cfg, nodes: map[string]*node{}}
+	g.ctx = t.Context()
+	for i := range size {
+		g.names = append(g.names, fmt.Sprintf("h%d", i+1))
+	}
+	for _, name := range g.names {
+		g.start(name)
+	}
+	return g
+}
+
+// start boots a host on its disk, a new one if it has none.
+func (g *group) start(name string) *node {
+	n := g.nodes[name]
+	if n == nil {
+		n = &node{name: name, disk: memdisk.New()}
+		n.disk.SyncTime = time.Millisecond
+		g.nodes[name] = n
+	}
+	j, err := journal.OpenFS(n.disk.Mount(), "/data")
+	if err != nil {
+		g.t.Fatalf("open the journal of %s: %v", name, err)
+	}
+	cfg := g.cfg
+	cfg.Host, cfg.Voters = name, g.names
+	if cfg.Logger == nil {
+		cfg.Logger = quiet()
+	}
+	n.j, n.machine = j, newRegisters()
+	e := g.net.endpoint(name)
+	n.r, err = New(cfg, j, n.machine, e)
+	if err != nil {
+		g.t.Fatalf("start %s: %v", name, err)
+	}
+	g.net.listen(name, e)
+	n.r.woke = func() { g.net.gate(name) }
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = n.r.Run(ctx)
+	}()
+	n.stop = func() {
+		cancel()
+		<-ended
+	}
+	return n
+}
+
+// kill ends the process as a power loss does.
+func (g *group) kill(name string) {
+	n := g.nodes[name]
+	if n.r == nil {
+		return
+	}
+	g.net.listen(name, nil)
+	n.disk.Crash(g.rng)
+	n.stop()
+	n.r = nil
+}
+
+// lose kills the host and empties its disk.
+func (g *group) lose(name string) {
+	g.kill(name)
+	g.nodes[name].disk.Lose()
+}
+
+func (g *group) close() {
+	for _, n := range g.nodes {
+		if n.r != nil {
+			n.stop()
+		}
+	}
+	time.Sleep(2 * time.Minute) // all calls of ended processes time out
+}
+
+// waitLeader returns the host that leads and has committed its term start.
+func (g *group) waitLeader() *node {
+	g.t.Helper()
+	for range 600 {
+		for _, n := range g.nodes {
+			if n.r != nil && n.r.Status().Ready {
+				return n
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatalf("no leader in 30 s: %+v", g.statuses())
+	return nil
+}
+
+func (g *group) statuses() (list []Status) {
+	for _, n := range g.nodes {
+		if n.r != nil {
+			list = append(list, n.r.Status())
+		}
+	}
+	return list
+}
+
+// set proposes an unconditional change through a host.
+func (g *group) set(n *node, id, key, value string) (carawayshift.Answer, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, 5*time.Second)
+	defer cancel()
+	return n.r.Propose(ctx, carawayshift.Command{ID: id, Kind: carawayshift.SetConfig, Name: key, Because: "*", Value: value})
+}
+
+// read is a linearizable read through a host.
+func (g *group) read(n *node, key string) (string, uint64, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, 5*time.Second)
+	defer cancel()
+	index, err := n.r.Barrier(ctx)
+	if err != nil {
+		return "", 0, err
+	}
+	if err := n.r.WaitApplied(ctx, index); err != nil {
+		return "", 0, err
+	}
+	value, version := n.machine.get(key)
+	return value, version, nil
+}
+
+// others returns two hosts that are not n.
+func (g *group) others(n *node) (a, b *node) {
+	for _, name := range g.names {
+		switch {
+		case name == n.name:
+		case a == nil:
+			a = g.nodes[name]
+		case b == nil:
+			b = g.nodes[name]
+		}
+	}
+	return a, b
+}
--- /dev/null
+++ b/pkg/replica/leader.go
@@ -0,0 +1,314 @@
+package replica
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"carawayshift.example/carawayshift/pkg/journal"
+)
+
+const (
+	// maxAppendBytes bounds the entries of one call, 70 ms at 30 Mbit/s.
+	maxAppendBytes   = 256 << 10
+	maxAppendEntries = 1024
+	// restCallBytes is the estimated size of one call at rest on the wire:
+	// about 60 bytes of request and reply, and packet headers and
+	// acknowledgements of QUIC.
+	restCallBytes = 200
+	// restBudget is what the heartbeats of a host may use. It leaves a tenth
+	// of the 3 KB/s per host to others.
+	restBudget = 2700 // bytes per second
+)
+
+// leadership is the state of one term of this host as leader.
+type leadership struct {
+	term   uint64
+	start  uint64 // index of the term-start entry
+	ctx    context.Context
+	cancel context.CancelFunc
+	peers  map[string]*peer
+	// round counts the requests for a proof of leadership. A peer's acked
+	// round says that a call sent after that request was answered.
+	round uint64
+	since time.Time
+	// moving is the host that leadership is being handed to.
+	moving string
+}
+
+// peer is what the leader knows of one other member.
+type peer struct {
+	host     string
+	identity uint64
+	cancel   context.CancelFunc
+	// next is the index of the next entry to send, match the last one known
+	// to be on the peer's disk.
+	next, match uint64
+	round       uint64    // highest round in an answered call
+	contact     time.Time // when the last answered call was sent
+	sentRound   uint64
+	sentCommit  uint64
+	refused     bool
+}
+
+func (l *leadership) ready(commit uint64) bool { return l.start > 0 && commit >= l.start }
+
+// becomeLeader starts the term with an entry of its own. Nothing is served
+// before it is committed: only then is the commit index known to be complete.
+func (r *Replica) becomeLeader(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hard.Term != term || r.hard.Vote != r.cfg.Host || r.lead != nil || !r.running {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &leadership{term: term, ctx: ctx, cancel: cancel, peers: map[string]*peer{}, since: time.Now()}
+	r.lead, r.leader = l, r.cfg.Host
+	r.log.WithField("term", term).Info("elected leader")
+	r.enqueueTermStart(l)
+	r.startPeers()
+	go r.watchMajority(l)
+	r.notify()
+}
+
+// stepDown ends the leadership, if any. It needs r.mu.
+func (r *Replica) stepDown(reason string) {
+	l := r.lead
+	if l == nil {
+		return
+	}
+	l.cancel()
+	r.lead, r.leader = nil, ""
+	for _, p := range r.queue {
+		p.finish(nil, notRun("this host stopped being the leader", retryRemedy))
+	}
+	r.queue = nil
+	r.postpone(r.cfg.ElectionTimeout)
+	r.log.WithField("term", l.term).WithField("reason", reason).Info("leader steps down")
+	r.notify()
+}
+
+// startPeers runs one goroutine for each other member. It needs r.mu.
+func (r *Replica) startPeers() {
+	l := r.lead
+	for _, m := range r.members() {
+		old, ok := l.peers[m.Host]
+		if m.Host == r.cfg.Host || (ok && old.identity == m.Identity) {
+			continue
+		}
+		if ok {
+			old.cancel()
+		}
+		ctx, cancel := context.WithCancel(l.ctx)
+		p := &peer{host: m.Host, identity: m.Identity, cancel: cancel, next: r.journal.Last() + 1, contact: time.Now()}
+		l.peers[m.Host] = p
+		go r.replicate(ctx, l, p)
+	}
+	for host, p := range l.peers {
+		if _, ok := find(r.members(), host); !ok {
+			p.cancel()
+			delete(l.peers, host)
+		}
+	}
+}
+
+// restInterval is the heartbeat interval, stretched with the number of peers
+// to keep the traffic at rest within its budget.
+func (r *Replica) restInterval(peers int) time.Duration {
+	d := time.Duration(peers) * time.Second * restCallBytes / restBudget
+	return min(max(d, r.cfg.Heartbeat), r.cfg.ElectionTimeout/2)
+}
+
+// watchMajority steps down when no majority answered for an election timeout.
+func (r *Replica) watchMajority(l *leadership) {
+	for r.sleep(l.ctx, r.cfg.ElectionTimeout/8) {
+		r.mu.Lock()
+		if r.lead == l && !r.quorum(func(p *peer) bool { return r.healthy(p) }) {
+			r.stepDown("no majority of the voters answers")
+		}
+		r.mu.Unlock()
+	}
+}
+
+// healthy tells whether a peer answered within the election timeout.
+func (r *Replica) healthy(p *peer) bool {
+	return !p.refused && time.Since(p.contact) < r.cfg.ElectionTimeout
+}
+
+// quorum tells whether this host, as a voter, and the peers for which ok is
+// true are a majority of the voters. It needs r.mu.
+func (r *Replica) quorum(ok func(p *peer) bool) bool {
+	list := voters(r.members())
+	n := 0
+	for _, m := range list {
+		p := r.lead.peers[m.Host]
+		if m.Host == r.cfg.Host || (p != nil && ok(p)) {
+			n++
+		}
+	}
+	return n >= majority(len(list))
+}
+
+// advanceCommit commits what a majority has on disk, if it is of this term.
+// It needs r.mu.
+func (r *Replica) advanceCommit() {
+	l := r.lead
+	var matches []uint64
+	for _, m := range voters(r.members()) {
+		if m.Host == r.cfg.Host {
+			matches = append(matches, r.journal.Last())
+		} else if p := l.peers[m.Host]; p != nil && !p.refused {
+			matches = append(matches, p.match)
+		} else {
+			matches = append(matches, 0)
+		}
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-majority(len(matches))]
+	if term, ok := r.journal.Term(index); index <= r.commit || !ok || term != l.term {
+		return
+	}
+	r.setCommit(index)
+	for host, p := range l.peers {
+		r.noteAcked(map[string]uint64{host: min(p.match, r.commit)})
+	}
+	r.noteAcked(map[string]uint64{r.cfg.Host: r.commit})
+}
+
+// setCommit needs r.mu.
+func (r *Replica) setCommit(index uint64) {
+	if index > r.commit {
+		r.commit = index
+		r.notify()
+	}
+}
+
+// replicate sends entries, snapshots and heartbeats to one peer, one call at
+// a time.
+func (r *Replica) replicate(ctx context.Context, l *leadership, p *peer) {
+	for r.awaitWork(ctx, l, p) {
+		if err := r.sendNext(ctx, l, p); err != nil && !r.sleep(ctx, r.cfg.Heartbeat) {
+			return
+		}
+	}
+}
+
+// awaitWork waits until there is something to send or a heartbeat is due.
+func (r *Replica) awaitWork(ctx context.Context, l *leadership, p *peer) bool {
+	r.mu.Lock()
+	interval := r.restInterval(len(l.peers))
+	r.mu.Unlock()
+	timeout, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	err := r.await(timeout, func() bool {
+		if p.refused {
+			return false
+		}
+		return p.next <= r.journal.Last() || p.sentCommit < r.commit || p.sentRound < l.round
+	})
+	if err != nil && r.woke != nil {
+		r.woke()
+	}
+	return ctx.Err() == nil && r.alive()
+}
+
+func (r *Replica) alive() bool {
+	select {
+	case <-r.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// sendNext makes one call to the peer and takes its reply into account.
+func (r *Replica) sendNext(ctx context.Context, l *leadership, p *peer) error {
+	r.mu.Lock()
+	prev, round, refused := p.next-1, l.round, p.refused
+	p.sentRound = round
+	r.mu.Unlock()
+	prevTerm, ok := r.journal.Term(prev)
+	if refused {
+		return r.sendAppend(ctx, l, p, round, appendRequest{Term: l.term, To: p.identity, Refused: true})
+	}
+	var entries []journal.Entry
+	var err error
+	if ok {
+		entries, err = r.journal.Entries(prev+1, maxAppendEntries, maxAppendBytes)
+	}
+	if !ok || err != nil {
+		return r.sendSnapshot(ctx, l, p)
+	}
+	return r.sendAppend(ctx, l, p, round, appendRequest{
+		Term: l.term, Prev: prev, PrevTerm: prevTerm, To: p.identity,
+		Entries: toWire(entries),
+	})
+}
+
+func (r *Replica) sendAppend(ctx context.Context, l *leadership, p *peer, round uint64, req appendRequest) error {
+	r.mu.Lock()
+	req.Commit = r.commit
+	if len(req.Entries) > 0 || p.sentCommit < r.commit {
+		req.Acked = maps.Clone(r.acked)
+	}
+	p.sentCommit = r.commit
+	r.mu.Unlock()
+	sent := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, r.callTimeout())
+	defer cancel()
+	var reply appendReply
+	if err := r.call(ctx, p.host, methodAppend, req, &reply); err != nil {
+		r.retryCommit(p)
+		return err
+	}
+	if reply.Term > l.term {
+		r.noteTerm(l.ctx, reply.Term)
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lead == l {
+		r.noteReply(l, p, req, reply, sent, round)
+	}
+	return nil
+}
+
+// retryCommit makes the next call carry the commit index again.
+func (r *Replica) retryCommit(p *peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.sentCommit = 0
+}
+
+// noteReply needs r.mu.
+func (r *Replica) noteReply(l *leadership, p *peer, req appendRequest, reply appendReply, sent time.Time, round uint64) {
+	if p.refused {
+		return
+	}
+	if reply.Identity != p.identity || (!reply.OK && reply.Last < r.acked[p.host]) {
+		r.refuse(p)
+		return
+	}
+	p.contact, p.round = sent, max(p.round, round)
+	if reply.OK {
+		p.match = max(p.match, reply.Index)
+		p.next = max(p.next, p.match+1)
+		r.noteAcked(map[string]uint64{p.host: min(p.match, r.commit)})
+		r.advanceCommit()
+	} else {
+		p.next = max(min(reply.Index+1, req.Prev), p.match+1, 1)
+	}
+	r.notify()
+}
+
+// refuse stops counting a peer whose folder is empty or older than what the
+// peer had acknowledged. It needs r.mu.
+func (r *Replica) refuse(p *peer) {
+	if p.refused {
+		return
+	}
+	p.refused = true
+	r.log.WithField("peer", p.host).Error("the peer's data folder is not the one of its membership entry, or older than what it acknowledged; remove the peer, empty its folder, add it again as a learner")
+	r.notify()
+}
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a group that does not elect, does not commit through every
+// host, or forgets commands in a restart of all hosts.
+func TestElectsCommitsAndRestarts(t *testing.T) {
+	inBubble(t, 1, 3, Config{SnapshotEntries: 20, KeepEntries: 5}, func(g *group) {
+		w := NewWithT(g.t)
+		g.waitLeader()
+		for i := range 50 {
+			n := g.nodes[g.names[i%3]]
+			_, err := g.set(n, fmt.Sprint("c", i), "k", fmt.Sprint(i))
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+		for _, name := range g.names {
+			g.kill(name)
+		}
+		for _, name := range g.names {
+			g.start(name)
+		}
+		g.waitLeader()
+		for _, name := range g.names {
+			value, version, err := g.read(g.nodes[name], "k")
+			w.Expect(err).NotTo(HaveOccurred())
+			w.Expect(value).To(Equal("49"))
+			w.Expect(version).To(BeEquivalentTo(50))
+		}
+	})
+}
+
+// Guards against an outage longer than 3 s after the leader's host is lost.
+func TestLeaderLoss(t *testing.T) {
+	inBubble(t, 2, 5, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		old := g.waitLeader()
+		g.kill(old.name)
+		start := time.Now()
+		n := g.waitLeader()
+		_, err := g.set(n, "a", "k", "v")
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
+		g.start(old.name)
+		_, version, err := g.read(g.nodes[old.name], "k")
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(version).To(BeEquivalentTo(1))
+	})
+}
+
+// Guards against state that differs after a restart, with and without
+// snapshots in between.
+func TestRecovery(t *testing.T) {
+	for _, entries := range []uint64{100000, 300} {
+		t.Run(fmt.Sprint("snapshot every ", entries), func(t *testing.T) {
+			inBubble(t, 3, 1, Config{SnapshotEntries: entries, KeepEntries: 50}, func(g *group) {
+				w := NewWithT(t)
+				n := g.waitLeader()
+				for i := range 1000 {
+					_, err := g.set(n, fmt.Sprint("c", i), fmt.Sprint("k", i%40), fmt.Sprint(i))
+					w.Expect(err).NotTo(HaveOccurred())
+				}
+				before, size := n.machine.bytes(), n.j.LogSize()
+				g.kill(n.name)
+				started := time.Now()
+				n = g.start(n.name)
+				g.waitLeader()
+				_, _, err := g.read(n, "k1")
+				w.Expect(err).NotTo(HaveOccurred())
+				w.Expect(n.machine.bytes()).To(Equal(before))
+				t.Logf("1,000 changes: log %d bytes, ready %v after the start (paused time)", size, time.Since(started))
+			})
+		})
+	}
+}
+
+// Guards against a leader that was frozen for a minute and then serves a
+// read, or acknowledges a command, from before the others' new term.
+func TestFrozenLeader(t *testing.T) {
+	inBubble(t, 4, 3, Config{}, func(g *group) {
+		w := NewWithT(t)
+		old := g.waitLeader()
+		_, err := g.set(old, "a", "k", "old")
+		w.Expect(err).NotTo(HaveOccurred())
+		thaw := g.net.freeze(old.name)
+		time.Sleep(5 * time.Second)
+		w.Expect(old.r.Status().Ready).To(BeTrue(), "the frozen leader must not know yet")
+		other := g.nodes[g.names[0]]
+		if other == old {
+			other = g.nodes[g.names[1]]
+		}
+		_, err = g.set(other, "b", "k", "new")
+		w.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(55 * time.Second)
+		thaw()
+		value, _, err := g.read(old, "k")
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(value).To(Equal("new"))
+	})
+}
+
+// Guards against a host that lost its disk, or got an old copy of it back,
+// and votes or acknowledges as the member it was.
+func TestLostDiskMayNotVote(t *testing.T) {
+	for _, lose := range []bool{true, false} {
+		t.Run(fmt.Sprint("lost disk ", lose), func(t *testing.T) {
+			inBubble(t, 5, 3, Config{}, func(g *group) {
+				w := NewWithT(t)
+				leader := g.waitLeader()
+				victim, other := g.others(leader)
+				backup := victim.disk.Copy()
+				_, err := g.set(leader, "a", "k", "v")
+				w.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(time.Second)
+				g.lose(victim.name)
+				if !lose {
+					victim.disk = backup
+				}
+				g.start(victim.name)
+				time.Sleep(2 * time.Second)
+				w.Expect(leader.r.Status().RefusedMembers).To(ConsistOf(victim.name))
+				g.kill(other.name)
+				_, err = g.set(leader, "b", "k", "w")
+				w.Expect(err).To(HaveOccurred(), "one voter and a refused one are no majority")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/replica/status.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/journal"
+)
+
+// Status is a copy of a replica's state.
+type Status struct {
+	Host     string `json:"host"`
+	Identity uint64 `json:"identity"`
+	Term     uint64 `json:"term"`
+	Leader   string `json:"leader"`
+	// Ready is true on a leader that has committed an entry of its term.
+	Ready   bool     `json:"ready"`
+	Last    uint64   `json:"last"`
+	Commit  uint64   `json:"commit"`
+	Applied uint64   `json:"applied"`
+	Members []Member `json:"members"`
+	// MembersIndex is the index of the entry that set Members.
+	MembersIndex uint64 `json:"members_index"`
+	// Match is the last index known to be on the disk of each member. Only
+	// the leader has it.
+	Match map[string]uint64 `json:"match,omitempty"`
+	// RefusedMembers are members whose data folder is older than what they
+	// had acknowledged, or not the one of their membership entry.
+	RefusedMembers []string `json:"refused_members,omitempty"`
+	// Refused is true when that happened to this host.
+	Refused bool `json:"refused,omitempty"`
+}
+
+// Status returns a copy of the state.
+func (r *Replica) Status() Status {
+	last := r.journal.Last()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.configs[len(r.configs)-1]
+	s := Status{
+		Host: r.cfg.Host, Identity: r.hard.Identity, Term: r.hard.Term, Leader: r.leader,
+		Last: last, Commit: r.commit, Applied: r.applied,
+		Members: append([]Member(nil), c.members...), MembersIndex: c.index, Refused: r.hard.Refused,
+	}
+	if r.lead == nil {
+		return s
+	}
+	s.Ready = r.lead.ready(r.commit)
+	s.Match = map[string]uint64{r.cfg.Host: last}
+	for host, p := range r.lead.peers {
+		s.Match[host] = p.match
+		if p.refused {
+			s.RefusedMembers = append(s.RefusedMembers, host)
+		}
+	}
+	return s
+}
+
+// Leader returns the leader and the term as far as this host knows.
+func (r *Replica) Leader() (string, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader, r.hard.Term
+}
+
+// Watch returns the applied index and a channel that is closed when it, the
+// leader, the term or the membership may have changed.
+func (r *Replica) Watch() (applied uint64, changed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.applied, r.changed
+}
+
+// WaitApplied returns when the entry at index has been applied here.
+func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
+	return r.await(ctx, func() bool { return r.applied >= index })
+}
+
+// Entries returns applied entries from an index on, at most max. Hosts that
+// keep a copy of the state apply those of KindCommand and skip the others. An
+// error of kind NotFound says that they are compacted: take Snapshot first.
+func (r *Replica) Entries(from uint64, max int) ([]journal.Entry, error) {
+	r.mu.Lock()
+	applied := r.applied
+	r.mu.Unlock()
+	if from > applied || max <= 0 {
+		return nil, nil
+	}
+	entries, err := r.journal.Entries(from, min(max, int(applied-from)+1), maxAppendBytes)
+	if errors.Is(err, journal.ErrCompacted) {
+		err = carawayshift.NewError(carawayshift.NotFound, "the log entries are compacted", "restore the snapshot, then ask for the entries after it")
+	}
+	return entries, errors.Wrap(err, "replica.Entries")
+}
+
+// Snapshot returns the newest stored snapshot of the state machine and the
+// index of the last entry in it. The index is 0 when there is none yet; then
+// Entries has everything.
+func (r *Replica) Snapshot() (index uint64, data []byte, err error) {
+	s, err := r.journal.Snapshot()
+	return s.Index, s.Data, errors.Wrap(err, "replica.Snapshot")
+}
--- /dev/null
+++ b/pkg/replica/wire.go
@@ -0,0 +1,159 @@
+package replica
+
+import (
+	"context"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/journal"
+)
+
+// Methods of the transport.
+const (
+	methodHello    = "replica.hello"
+	methodVote     = "replica.vote"
+	methodAppend   = "replica.append"
+	methodSnapshot = "replica.snapshot"
+	methodElect    = "replica.elect"
+	methodPropose  = "replica.propose"
+	methodBarrier  = "replica.barrier"
+	methodChange   = "replica.change"
+)
+
+// helloReply tells who a host is. Membership is nil as long as the host has
+// never belonged to a group.
+type helloReply struct {
+	Identity   uint64 `cbor:"1,keyasint"`
+	Membership []byte `cbor:"2,keyasint,omitempty"`
+	Fresh      bool   `cbor:"3,keyasint,omitempty"`
+}
+
+type voteRequest struct {
+	Term      uint64 `cbor:"1,keyasint"`
+	LastIndex uint64 `cbor:"2,keyasint"`
+	LastTerm  uint64 `cbor:"3,keyasint"`
+	Identity  uint64 `cbor:"4,keyasint"`
+	// Pre asks whether the vote would be granted, without effect.
+	Pre bool `cbor:"5,keyasint,omitempty"`
+	// Transfer says that the leader itself asked for this election.
+	Transfer bool `cbor:"6,keyasint,omitempty"`
+}
+
+type voteReply struct {
+	Term      uint64 `cbor:"1,keyasint"`
+	Granted   bool   `cbor:"2,keyasint,omitempty"`
+	Identity  uint64 `cbor:"3,keyasint"`
+	LastIndex uint64 `cbor:"4,keyasint"`
+	// Acked is what the voter knows the members to have on disk. It lets a
+	// candidate refuse the vote of a member whose folder is older.
+	Acked map[string]uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+type wireEntry struct {
+	_    struct{} `cbor:",toarray"`
+	Term uint64
+	Kind uint8
+	Data []byte
+}
+
+type appendRequest struct {
+	Term     uint64 `cbor:"1,keyasint"`
+	Prev     uint64 `cbor:"2,keyasint,omitempty"`
+	PrevTerm uint64 `cbor:"3,keyasint,omitempty"`
+	Commit   uint64 `cbor:"4,keyasint,omitempty"`
+	// To is the disk identity of the receiver in the leader's membership.
+	To      uint64      `cbor:"5,keyasint"`
+	Entries []wireEntry `cbor:"6,keyasint,omitempty"`
+	// Acked is sent with entries and commit changes, not at rest.
+	Acked map[string]uint64 `cbor:"7,keyasint,omitempty"`
+	// Refused tells the receiver that its folder is older than what it
+	// acknowledged.
+	Refused bool `cbor:"8,keyasint,omitempty"`
+}
+
+type appendReply struct {
+	Term     uint64 `cbor:"1,keyasint"`
+	Identity uint64 `cbor:"2,keyasint"`
+	// Index is the last index known to match when OK, otherwise the index
+	// after which the leader should try next.
+	Index uint64 `cbor:"3,keyasint,omitempty"`
+	OK    bool   `cbor:"4,keyasint,omitempty"`
+	// Last is the receiver's last index when not OK.
+	Last uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// snapshotRequest carries one chunk. Offset 0 starts a new transfer.
+type snapshotRequest struct {
+	Term       uint64 `cbor:"1,keyasint"`
+	To         uint64 `cbor:"2,keyasint"`
+	Index      uint64 `cbor:"3,keyasint"`
+	LastTerm   uint64 `cbor:"4,keyasint"`
+	Membership []byte `cbor:"5,keyasint,omitempty"`
+	Offset     int    `cbor:"6,keyasint,omitempty"`
+	Data       []byte `cbor:"7,keyasint,omitempty"`
+	Done       bool   `cbor:"8,keyasint,omitempty"`
+}
+
+type electRequest struct {
+	Term uint64 `cbor:"1,keyasint"`
+}
+
+// proposeRequest carries the time that the caller has left, because the hosts'
+// clocks differ.
+type proposeRequest struct {
+	LeftMs int64  `cbor:"1,keyasint"`
+	Data   []byte `cbor:"2,keyasint"`
+}
+
+type barrierReply struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+type changeRequest struct {
+	LeftMs int64  `cbor:"1,keyasint"`
+	Op     string `cbor:"2,keyasint"`
+	Host   string `cbor:"3,keyasint"`
+}
+
+func toWire(entries []journal.Entry) []wireEntry {
+	list := make([]wireEntry, 0, len(entries))
+	for _, e := range entries {
+		list = append(list, wireEntry{Term: e.Term, Kind: e.Kind, Data: e.Data})
+	}
+	return list
+}
+
+func fromWire(prev uint64, list []wireEntry) []journal.Entry {
+	entries := make([]journal.Entry, 0, len(list))
+	for i, e := range list {
+		entries = append(entries, journal.Entry{Index: prev + uint64(i) + 1, Term: e.Term, Kind: e.Kind, Data: e.Data})
+	}
+	return entries
+}
+
+// call encodes the request, calls the host and decodes the reply.
+func (r *Replica) call(ctx context.Context, host, method string, req, reply any) error {
+	body, err := carawayshift.Encode(req)
+	if err != nil {
+		return err
+	}
+	b, err := r.transport.Call(ctx, host, method, body)
+	if err != nil {
+		return err
+	}
+	return carawayshift.Decode(b, reply)
+}
+
+// unavailable is the error of a part that has to wait for something.
+func unavailable(text, remedy string) error {
+	return carawayshift.NewError(carawayshift.Unavailable, text, remedy)
+}
+
+func notRun(text, remedy string) error {
+	return carawayshift.NewError(carawayshift.NotRun, text, remedy)
+}
+
+func unknown(text string) error {
+	return carawayshift.NewError(carawayshift.OutcomeUnknown, text, "resend the command with the same id")
+}
+
+const retryRemedy = "try again in a few seconds"
