--- /dev/null
+++ b/pkg/journal/journal_test.go
@@ -0,0 +1,180 @@
+package journal_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/journal"
+	"carawayshift.example/carawayshift/pkg/journal/memdisk"
+)
+
+func entries(first, n int, term uint64) (list []journal.Entry) {
+	for i := range n {
+		list = append(list, journal.Entry{Index: uint64(first + i), Term: term, Data: fmt.Appendf(nil, "e%d.%d", first+i, term)})
+	}
+	return list
+}
+
+func open(t *testing.T, d *memdisk.Disk) *journal.Journal {
+	t.Helper()
+	j, err := journal.OpenFS(d.Mount(), "/data")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+func all(j *journal.Journal) []journal.Entry {
+	list, err := j.Entries(j.First(), 1<<20, 1<<30)
+	if err != nil {
+		panic(err)
+	}
+	return list
+}
+
+// model is what a journal must hold: the changes that returned success, and
+// perhaps the one that was cut short by the crash.
+type model struct {
+	hard journal.HardState
+	log  []journal.Entry
+	snap uint64
+}
+
+// Guards against acknowledged entries, votes or snapshots that are lost in a
+// crash, and against replaced entries that come back.
+func TestCrashKeepsAcknowledgedChanges(t *testing.T) {
+	for seed := range uint64(300) {
+		w := NewWithT(t)
+		rng := rand.New(rand.NewPCG(seed, 3))
+		d := memdisk.New()
+		j := open(t, d)
+		m := model{hard: j.Hard()}
+		for range 60 {
+			step(w, rng, j, &m)
+			if rng.IntN(8) > 0 {
+				continue
+			}
+			if rng.IntN(2) == 0 {
+				d.Interrupt(rng.IntN(4)) // the next change ends in a crash
+				_ = j.Append(entries(int(j.Last())+1, 3, m.hard.Term+1))
+			}
+			d.Crash(rng)
+			j = open(t, d)
+			w.Expect(j.Hard()).To(Equal(m.hard), "seed %d", seed)
+			index, _ := j.SnapshotIndex()
+			w.Expect(index).To(Equal(m.snap), "seed %d", seed)
+			got := all(j)
+			w.Expect(len(got)).To(BeNumerically(">=", len(m.log)-int(j.First()-1)), "seed %d", seed)
+			for _, e := range got[:max(0, len(m.log)-int(j.First()-1))] {
+				w.Expect(e).To(Equal(m.log[e.Index-1]), "seed %d", seed)
+			}
+			m.log = append(m.log[:j.First()-1], got...)
+		}
+	}
+}
+
+// step makes one random change and notes it in the model.
+func step(w *WithT, rng *rand.Rand, j *journal.Journal, m *model) {
+	last := len(m.log)
+	switch rng.IntN(5) {
+	case 0:
+		m.hard.Term++
+		m.hard.Vote = fmt.Sprint("h", rng.IntN(3))
+		w.Expect(j.SetHard(m.hard)).To(Succeed())
+	case 1: // replace a part of the suffix
+		first := max(int(m.snap)+1, last-rng.IntN(4))
+		list := entries(first, 1+rng.IntN(5), m.hard.Term+1)
+		w.Expect(j.Append(list)).To(Succeed())
+		m.log = append(m.log[:first-1], list...)
+	case 2:
+		if last == 0 || rng.IntN(3) > 0 {
+			return
+		}
+		e := m.log[rng.IntN(last)]
+		w.Expect(j.SaveSnapshot(journal.Snapshot{Index: e.Index, Term: e.Term})).To(Succeed())
+		m.snap = max(m.snap, e.Index)
+		w.Expect(j.Compact(e.Index - min(e.Index, 3))).To(Succeed())
+	default:
+		list := entries(last+1, 1+rng.IntN(5), m.hard.Term)
+		w.Expect(j.Append(list)).To(Succeed())
+		m.log = append(m.log, list...)
+	}
+}
+
+// Guards against damage that is taken for a torn tail, which would silently
+// drop acknowledged entries, and against errors that don't say what to do.
+func TestDamage(t *testing.T) {
+	tests := []struct {
+		name, file string
+		offset     int // negative: from the end
+		remedy     bool
+	}{
+		{"first record", ".log", 14, true},
+		{"length of the first record", ".log", 5, true},
+		{"last record is a torn tail", ".log", -2, false},
+		{"hard state", "state", 14, true},
+		{"snapshot", ".snap", 14, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := NewWithT(t)
+			d := memdisk.New()
+			j := open(t, d)
+			w.Expect(j.Append(entries(1, 2, 1))).To(Succeed())
+			w.Expect(j.Append(entries(3, 2, 1))).To(Succeed())
+			w.Expect(j.SaveSnapshot(journal.Snapshot{Index: 1, Term: 1, Data: []byte("state")})).To(Succeed())
+			names, err := d.Mount().List("/data")
+			w.Expect(err).NotTo(HaveOccurred())
+			for _, name := range names {
+				if strings.HasSuffix(name, tt.file) {
+					d.Damage(filepath.Join("/data", name), tt.offset)
+				}
+			}
+			j, err = journal.OpenFS(d.Mount(), "/data")
+			if tt.remedy {
+				w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.Malformed))
+				w.Expect(err.Error()).To(ContainSubstring("add it again as a learner"))
+				return
+			}
+			w.Expect(err).NotTo(HaveOccurred())
+			w.Expect(j.Last()).To(BeEquivalentTo(2))
+		})
+	}
+}
+
+// Guards against log files that stay after a snapshot covers them, and
+// against entries that are lost with them.
+func TestCompactionRemovesFiles(t *testing.T) {
+	w := NewWithT(t)
+	dir := t.TempDir()
+	j, err := journal.Open(filepath.Join(dir, "sub"))
+	w.Expect(err).NotTo(HaveOccurred())
+	id := j.Hard().Identity
+	for i := range 10 {
+		w.Expect(j.Append(entries(1+i*100, 100, 1))).To(Succeed())
+		w.Expect(j.SaveSnapshot(journal.Snapshot{Index: uint64(i*100 + 100), Term: 1, Data: []byte("s")})).To(Succeed())
+		w.Expect(j.Compact(uint64(i*100 + 50))).To(Succeed())
+	}
+	files, err := filepath.Glob(filepath.Join(dir, "sub", "*"))
+	w.Expect(err).NotTo(HaveOccurred())
+	w.Expect(files).To(HaveLen(3), "state, one snapshot, one segment")
+	w.Expect(j.Close()).To(Succeed())
+	w.Expect(j.Append(entries(1001, 1, 1))).NotTo(Succeed())
+	j, err = journal.Open(filepath.Join(dir, "sub"))
+	w.Expect(err).NotTo(HaveOccurred())
+	w.Expect(j.Hard().Identity).To(Equal(id))
+	w.Expect(j.Last()).To(BeEquivalentTo(1000))
+	list, err := j.Entries(951, 1000, 1<<20)
+	w.Expect(err).NotTo(HaveOccurred())
+	w.Expect(list).To(Equal(entries(951, 50, 1)))
+	w.Expect(j.SaveSnapshot(journal.Snapshot{Index: 2000, Term: 4, Data: []byte("far ahead")})).To(Succeed())
+	w.Expect(j.Append(entries(2001, 1, 4))).To(Succeed())
+	_, err = j.Entries(1000, 1, 1)
+	w.Expect(err).To(MatchError(journal.ErrCompacted))
+}
--- a/pkg/journal/load.go
+++ b/pkg/journal/load.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-
 	"carawayshift.example/carawayshift"
 )
 
@@ -86,8 +84,7 @@
 }
 
 // loadSnapshot takes the newest snapshot. An older one is left over from a
-// crash and is removed by no one but the next SaveSnapshot's successor, so it
-// is removed here.
+// crash and is removed.
 func (j *Journal) loadSnapshot(names []string) error {
 	for i, name := range names {
 		if i < len(names)-1 {
@@ -218,9 +215,8 @@
 	}
 	drop := j.segments
 	j.segments, j.entries = nil, nil
-	if err := errors.Wrap(j.open.Close(), "journal.reconcile"); err != nil {
+	if err := j.closeSegment(); err != nil {
 		return err
 	}
-	j.open = nil
 	return j.removeSegments(drop)
 }
--- a/pkg/journal/memdisk/disk.go
+++ b/pkg/journal/memdisk/disk.go
@@ -44,6 +44,9 @@
 	names   map[string]*inode
 	durable map[string]*inode
 	syncs   int
+	// left is the number of operations before the next crash, when armed.
+	left  int
+	armed bool
 }
 
 // New returns an empty disk.
@@ -64,6 +67,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.epoch++
+	d.armed = false
 	d.names = map[string]*inode{}
 	for name, f := range d.durable {
 		kept := append([]byte(nil), f.synced...)
@@ -101,12 +105,24 @@
 	return c
 }
 
-// Damage flips one bit of a file at an offset from its start.
+// Interrupt lets n more operations succeed; then all mounts fail until the
+// next Crash.
+func (d *Disk) Interrupt(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.left, d.armed = n, true
+}
+
+// Damage flips one bit of a file at an offset from its start, or from its end
+// when the offset is negative.
 func (d *Disk) Damage(name string, offset int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := d.names[name]
 	f.data = append([]byte(nil), f.data...)
+	if offset < 0 {
+		offset += len(f.data)
+	}
 	f.data[offset] ^= 1
 	f.synced = append([]byte(nil), f.data...)
 }
@@ -131,6 +147,12 @@
 	if m.epoch != m.d.epoch {
 		return ErrCrashed
 	}
+	if m.d.armed && m.d.left == 0 {
+		return ErrCrashed
+	}
+	if m.d.armed {
+		m.d.left--
+	}
 	return fn()
 }
 
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -145,10 +145,8 @@
 	if j.open != nil && j.lastSegment().size < segmentBytes {
 		return nil
 	}
-	if j.open != nil {
-		if err := j.open.Close(); err != nil {
-			return err
-		}
+	if err := j.closeSegment(); err != nil {
+		return err
 	}
 	j.number++
 	name := segmentName(first, j.number)
@@ -210,11 +208,8 @@
 	drop := j.segments
 	j.segments, j.entries = nil, nil
 	j.mu.Unlock()
-	if j.open != nil {
-		if err := j.open.Close(); err != nil {
-			return err
-		}
-		j.open = nil
+	if err := j.closeSegment(); err != nil {
+		return err
 	}
 	return j.removeSegments(drop)
 }
@@ -238,14 +233,28 @@
 		return err
 	}
 	defer j.end()
-	if err := j.removeSegments(j.dropEntries(index)); err != nil {
+	err := j.closeSegment()
+	if err == nil {
+		err = j.removeSegments(j.dropEntries(index))
+	}
+	if err != nil {
 		return j.fail(errors.Wrap(err, "journal.Compact"))
 	}
 	return nil
 }
 
-// dropEntries returns the segments that are no longer needed. The last one
-// stays open for appending.
+// closeSegment lets the next Append start a new file, so that the old one can
+// be removed at a later compaction however small it is.
+func (j *Journal) closeSegment() error {
+	if j.open == nil {
+		return nil
+	}
+	err := j.open.Close()
+	j.open = nil
+	return err
+}
+
+// dropEntries returns the segments that are no longer needed.
 func (j *Journal) dropEntries(index uint64) []segment {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -255,7 +264,7 @@
 		j.entries = append([]Entry(nil), j.entries[n:]...)
 	}
 	n := 0
-	for n < len(j.segments)-1 && j.segments[n].last <= index {
+	for n < len(j.segments) && j.segments[n].last <= index {
 		n++
 	}
 	drop := append([]segment(nil), j.segments[:n]...)
