--- /dev/null
+++ b/cmd/carawayshift/check.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift/internal/settings"
+)
+
+type checkCmd struct {
+	File string `arg:"" help:"Settings file."`
+}
+
+// Run prints every fault of the file with its line and remedy.
+func (c *checkCmd) Run() error {
+	s, err := settings.Load(c.File)
+	var faults settings.Faults
+	if errors.As(err, &faults) {
+		for _, f := range faults {
+			fmt.Println(f)
+		}
+		return errors.Newf("%s has %d faults", c.File, len(faults))
+	}
+	if err != nil {
+		return err
+	}
+	role := "entry host"
+	if s.Control.Data != "" {
+		role = "entry and control host"
+	}
+	fmt.Printf("%s is valid: %s %s of zone %s, region %s, %d hosts in the deployment\n",
+		c.File, role, s.Host.Name, s.Host.Zone, s.Host.Region, len(s.Peers))
+	return nil
+}
--- a/internal/standin/worker/announce.go
+++ b/internal/standin/worker/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"carawayshift.example/carawayshift"
@@ -34,26 +35,42 @@
 }
 
 // Run announces the worker and expires tasks until ctx ends. Tasks end with
-// it, as on a machine that loses power.
+// it, as on a machine that loses power. Announcements have a goroutine of
+// their own, so that an entry host that does not answer delays no expiry.
 func (w *Worker) Run(ctx context.Context) error {
-	announce := time.NewTicker(w.opts.Interval)
-	defer announce.Stop()
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		w.announceAll(ctx)
+	}()
+	defer wg.Wait()
 	check := time.NewTicker(expiryCheck)
 	defer check.Stop()
-	entry := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-check.C:
-			w.mu.Lock()
-			changed := w.expire(time.Now())
-			w.mu.Unlock()
-			if changed {
-				w.announceSoon()
-			}
-			continue
-		case <-announce.C:
+		}
+		w.mu.Lock()
+		changed := w.expire(time.Now())
+		w.mu.Unlock()
+		if changed {
+			w.announceSoon()
+		}
+	}
+}
+
+func (w *Worker) announceAll(ctx context.Context) {
+	tick := time.NewTicker(w.opts.Interval)
+	defer tick.Stop()
+	entry := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
 		case <-w.wake:
 		}
 		entry = w.announce(ctx, entry)
--- a/internal/state/schedulerjobs.go
+++ b/internal/state/schedulerjobs.go
@@ -22,6 +22,7 @@
 
 var schedulerKinds = map[carawayshift.CommandKind]applyFunc{
 	carawayshift.PlaceJob:         placeJob,
+	carawayshift.WithdrawJob:      withdrawJob,
 	carawayshift.StartJob:         startJob,
 	carawayshift.StopJob:          stopJob,
 	carawayshift.JobStopped:       jobStopped,
@@ -57,6 +58,17 @@
 	return nil
 }
 
+// withdrawJob returns a placed job to waiting. It is refused once the start was
+// accepted: tasks may run from then on.
+func withdrawJob(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
+	j, err := m.attempt(c, carawayshift.JobPlaced)
+	if err != nil {
+		return err
+	}
+	m.put(settle(j, carawayshift.JobWaiting, c.At, c.Change.Reason))
+	return nil
+}
+
 // startJob is the point after which tasks may run. It is refused when the
 // zone was taken out or the job was cancelled since the placement.
 func startJob(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
