--- /dev/null
+++ b/internal/runner/pool.go
@@ -0,0 +1,266 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+)
+
+const (
+	defaultBodyLimit = 8 << 20
+	defaultInterval  = 500 * time.Millisecond
+	// sweepInterval bounds how long an expired announcement stays in the
+	// table; choices check the expiry themselves.
+	sweepInterval = 250 * time.Millisecond
+	// entryConnections bounds the connections to one entry host of another
+	// zone.
+	entryConnections = 64
+)
+
+// Config holds the settings of a Pool. Zero values take the defaults.
+type Config struct {
+	Host string
+	Zone string
+	// Peers returns the other entry hosts of the zone.
+	Peers     func() []string
+	Transport carawayshift.Transport
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error)
+	// BodyLimit is the largest answer in bytes.
+	BodyLimit int64
+	// Interval is the time between digests to a peer while counts change.
+	Interval time.Duration
+	Metrics  *metrics.Set
+	Log      logrus.FieldLogger
+}
+
+// Pool knows the zone's runners and holds a connection pool for each.
+type Pool struct {
+	cfg        Config
+	mismatches *metrics.Counter
+	view       atomic.Pointer[map[string][]carawayshift.Runner]
+
+	mu       sync.Mutex
+	table    map[string]*entry
+	clients  map[string]*client
+	shared   map[string]map[string]int
+	seen     map[string]time.Time
+	peers    map[string]*peer
+	ids      uint64
+	boot     uint64
+	onLoad   func() map[string]int
+	onChange func()
+}
+
+// entry is one runner of the table. Direct entries were announced to this
+// host and are passed on to its peers. Heard is the time of the last direct
+// announcement: passing on what was only heard from peers would let two hosts
+// keep a dead runner alive for each other.
+type entry struct {
+	runner carawayshift.Runner
+	id     uint64
+	direct bool
+	heard  time.Time
+	// revision rises when a field that peers need changes.
+	revision uint64
+}
+
+// New returns a pool and registers its methods at the transport.
+func New(cfg Config) *Pool {
+	cfg = withDefaults(cfg)
+	p := &Pool{
+		cfg:        cfg,
+		mismatches: cfg.Metrics.GetOrCreateCounter("carawayshift_runner_echo_mismatches_total"),
+		table:      map[string]*entry{},
+		clients:    map[string]*client{},
+		shared:     map[string]map[string]int{},
+		seen:       map[string]time.Time{},
+		peers:      map[string]*peer{},
+		boot:       uint64(time.Now().UnixNano()),
+		onLoad:     func() map[string]int { return nil },
+		onChange:   func() {},
+	}
+	p.publish()
+	if cfg.Transport != nil {
+		cfg.Transport.Handle(shareMethod, p.handleShare)
+	}
+	return p
+}
+
+func withDefaults(cfg Config) Config {
+	if cfg.Peers == nil {
+		cfg.Peers = func() []string { return nil }
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
+	}
+	if cfg.BodyLimit <= 0 {
+		cfg.BodyLimit = defaultBodyLimit
+	}
+	if cfg.Interval <= 0 {
+		cfg.Interval = defaultInterval
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	return cfg
+}
+
+// OnLoad sets the source of this host's in-flight counts by runner name. Call
+// it before Run.
+func (p *Pool) OnLoad(fn func() map[string]int) { p.onLoad = fn }
+
+// OnChange sets a function that is called, without locks held, when runners or
+// shared counts have changed. Call it before Run.
+func (p *Pool) OnChange(fn func()) { p.onChange = fn }
+
+// Runners returns the zone's runners of a service that take requests, sorted
+// by name. The slice is shared: callers must not change it.
+func (p *Pool) Runners(service string) []carawayshift.Runner {
+	return (*p.view.Load())[service]
+}
+
+// All returns every known runner of the zone, including leaving ones.
+func (p *Pool) All() []carawayshift.Runner {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]carawayshift.Runner, 0, len(p.table))
+	for _, e := range p.table {
+		out = append(out, e.runner)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Shared returns the number of requests that the zone's other hosts have in
+// flight at a runner, as of their last digests.
+func (p *Pool) Shared(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, counts := range p.shared {
+		n += counts[name]
+	}
+	return n
+}
+
+// Share returns this host's rank among the zone's live hosts and their number.
+// A peer is live while its digests arrive.
+func (p *Pool) Share() (rank, hosts int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hosts = 1
+	for name := range p.seen {
+		hosts++
+		if name < p.cfg.Host {
+			rank++
+		}
+	}
+	return rank, hosts
+}
+
+// Run shares digests with the peers and drops expired runners until ctx ends.
+func (p *Pool) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer p.closeClients()
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		p.startPeers(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			p.sweep(time.Now())
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	changed := false
+	for name, e := range p.table {
+		if now.Sub(e.runner.Seen) > e.runner.Expiry {
+			p.drop(name, e)
+			changed = true
+		}
+	}
+	for host, at := range p.seen {
+		if now.Sub(at) > peerExpiry {
+			delete(p.seen, host)
+			delete(p.shared, host)
+			changed = true
+		}
+	}
+	if changed {
+		p.publish()
+	}
+	p.mu.Unlock()
+	if changed {
+		p.onChange()
+	}
+}
+
+func (p *Pool) drop(name string, e *entry) {
+	delete(p.table, name)
+	if c := p.clients[e.runner.Address]; c != nil {
+		c.transport.CloseIdleConnections()
+		delete(p.clients, e.runner.Address)
+	}
+}
+
+// publish rebuilds the view that choices read. The caller holds the mutex.
+func (p *Pool) publish() {
+	view := map[string][]carawayshift.Runner{}
+	for _, e := range p.table {
+		r := e.runner
+		if !r.Leaving && r.Slots > 0 {
+			view[r.Service] = append(view[r.Service], r)
+		}
+	}
+	for _, rs := range view {
+		sort.Slice(rs, func(i, j int) bool { return rs[i].Name < rs[j].Name })
+	}
+	p.view.Store(&view)
+}
+
+// client returns the connection pool of a target. All hosts of the zone keep
+// at most the runner's number of connections idle together; one host may use
+// more than its part while the other parts are lent.
+func (p *Pool) client(r carawayshift.Runner) *client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[r.Address]
+	if c != nil && c.incarnation == r.Incarnation {
+		return c
+	}
+	if c != nil {
+		c.transport.CloseIdleConnections()
+	}
+	connections := r.Connections
+	if connections <= 0 {
+		connections = entryConnections
+	}
+	c = p.newClient(connections, max(1, connections/(len(p.seen)+1)), r.Incarnation)
+	p.clients[r.Address] = c
+	return c
+}
+
+func (p *Pool) closeClients() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.transport.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/runner/share.go
@@ -0,0 +1,277 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+const (
+	shareMethod = "runner.share"
+	// shareTimeout leaves time for a second try within the 1 s in which a
+	// leaving flag must reach all hosts of the zone.
+	shareTimeout = 400 * time.Millisecond
+	// peerExpiry is how long a peer counts as live without a digest. Its
+	// slots are lent afterwards.
+	peerExpiry = 3 * time.Second
+	// refreshInterval bounds the time between digests when nothing changes,
+	// and keeps peers' entries of runners that announce only here alive.
+	refreshInterval = time.Second
+)
+
+// digest is the wire form of runner.share. Records holds runners that are new
+// or have changed since the peer's last acknowledged digest. Alive and Counts
+// name runners by the sender's short ids to keep a digest near 3 bytes for
+// each runner. Counts is a flat list of id and count pairs that changed.
+type digest struct {
+	Boot    uint64   `cbor:"1,keyasint"`
+	Full    bool     `cbor:"2,keyasint,omitempty"`
+	Records []record `cbor:"3,keyasint,omitempty"`
+	Alive   []uint64 `cbor:"4,keyasint,omitempty"`
+	Counts  []uint64 `cbor:"5,keyasint,omitempty"`
+	// Names resolves ids of counts whose runner the sender knows only from
+	// its peers.
+	Names map[uint64]string `cbor:"6,keyasint,omitempty"`
+}
+
+type record struct {
+	ID     uint64              `cbor:"1,keyasint"`
+	Runner carawayshift.Runner `cbor:"2,keyasint"`
+	// Age is the time since the announcement arrived, in ms.
+	Age int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// reply tells the sender whether the receiver lacks earlier digests.
+type reply struct {
+	Unknown bool `cbor:"1,keyasint,omitempty"`
+}
+
+// peer is what this host knows about one peer: what the peer acknowledged, and
+// the names behind the ids that the peer sends.
+type peer struct {
+	kick      chan struct{}
+	revisions map[uint64]uint64
+	counts    map[uint64]int
+	alive     map[uint64]time.Time
+	sent      time.Time
+
+	boot  uint64
+	names map[uint64]string
+}
+
+func (p *Pool) peer(host string) (*peer, bool) {
+	if x := p.peers[host]; x != nil {
+		return x, false
+	}
+	x := &peer{kick: make(chan struct{}, 1)}
+	x.reset()
+	p.peers[host] = x
+	return x, true
+}
+
+func (x *peer) reset() {
+	x.revisions = map[uint64]uint64{}
+	x.counts = map[uint64]int{}
+	x.alive = map[uint64]time.Time{}
+}
+
+// startPeers starts a goroutine for each peer that has none.
+func (p *Pool) startPeers(ctx context.Context, wg *sync.WaitGroup) {
+	if p.cfg.Transport == nil {
+		return
+	}
+	for _, host := range p.cfg.Peers() {
+		if host == p.cfg.Host {
+			continue
+		}
+		p.mu.Lock()
+		x, _ := p.peer(host)
+		started := !x.sent.IsZero()
+		if !started {
+			x.sent = time.Now()
+		}
+		p.mu.Unlock()
+		if !started {
+			wg.Go(func() { p.shareWith(ctx, host, x) })
+		}
+	}
+}
+
+// kick makes every peer goroutine send at once.
+func (p *Pool) kick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, x := range p.peers {
+		select {
+		case x.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *Pool) shareWith(ctx context.Context, host string, x *peer) {
+	full := true
+	tick := time.NewTicker(p.cfg.Interval)
+	defer tick.Stop()
+	for {
+		d, commit := p.digest(x, full)
+		if d != nil {
+			full = !p.send(ctx, host, d)
+			if !full {
+				p.mu.Lock()
+				commit()
+				p.mu.Unlock()
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-x.kick:
+		}
+	}
+}
+
+func (p *Pool) send(ctx context.Context, host string, d *digest) bool {
+	body, err := carawayshift.Encode(d)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	b, err := p.cfg.Transport.Call(ctx, host, shareMethod, body)
+	if err != nil {
+		return false
+	}
+	var r reply
+	return carawayshift.Decode(b, &r) == nil && !r.Unknown
+}
+
+// digest collects what the peer lacks, or nil if there is nothing to say. The
+// returned function marks it as acknowledged.
+func (p *Pool) digest(x *peer, full bool) (*digest, func()) {
+	load := p.onLoad()
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if full {
+		x.reset()
+	}
+	d := &digest{Boot: p.boot, Full: full}
+	revisions, counts, alive := map[uint64]uint64{}, map[uint64]int{}, map[uint64]time.Time{}
+	for name, e := range p.table {
+		p.addRecord(d, x, e, now, revisions, alive)
+		n := load[name]
+		if n != x.counts[e.id] {
+			d.Counts = append(d.Counts, e.id, uint64(n))
+			counts[e.id] = n
+			if _, known := x.counts[e.id]; !known && !e.direct {
+				d.name(e.id, name)
+			}
+		}
+	}
+	quiet := len(d.Records)+len(d.Counts) == 0 && now.Sub(x.sent) < refreshInterval
+	if quiet && !full {
+		return nil, nil
+	}
+	return d, func() { x.acknowledge(now, revisions, counts, alive) }
+}
+
+func (p *Pool) addRecord(d *digest, x *peer, e *entry, now time.Time, revisions map[uint64]uint64, alive map[uint64]time.Time) {
+	if !e.direct {
+		return
+	}
+	if x.revisions[e.id] != e.revision {
+		d.Records = append(d.Records, record{e.id, e.runner, now.Sub(e.heard).Milliseconds()})
+		revisions[e.id], alive[e.id] = e.revision, e.heard
+		return
+	}
+	if e.heard.After(x.alive[e.id]) {
+		d.Alive = append(d.Alive, e.id)
+		alive[e.id] = e.heard
+	}
+}
+
+func (d *digest) name(id uint64, name string) {
+	if d.Names == nil {
+		d.Names = map[uint64]string{}
+	}
+	d.Names[id] = name
+}
+
+func (x *peer) acknowledge(now time.Time, revisions map[uint64]uint64, counts map[uint64]int, alive map[uint64]time.Time) {
+	x.sent = now
+	for id, v := range revisions {
+		x.revisions[id] = v
+	}
+	for id, n := range counts {
+		x.counts[id] = n
+	}
+	for id, at := range alive {
+		x.alive[id] = at
+	}
+}
+
+// handleShare merges a peer's digest.
+func (p *Pool) handleShare(_ context.Context, from string, body []byte) ([]byte, error) {
+	var d digest
+	if err := carawayshift.Decode(body, &d); err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	r := p.mergeDigest(from, &d)
+	p.mu.Unlock()
+	p.onChange()
+	return carawayshift.Encode(r)
+}
+
+func (p *Pool) mergeDigest(from string, d *digest) reply {
+	now := time.Now()
+	x, _ := p.peer(from)
+	if d.Full || x.names == nil {
+		if !d.Full {
+			return reply{Unknown: true}
+		}
+		x.boot, x.names = d.Boot, map[uint64]string{}
+		p.shared[from] = map[string]int{}
+	}
+	if x.boot != d.Boot || p.shared[from] == nil {
+		return reply{Unknown: true}
+	}
+	p.seen[from] = now
+	for _, rec := range d.Records {
+		x.names[rec.ID] = rec.Runner.Name
+		rec.Runner.Seen = now.Add(-time.Duration(rec.Age) * time.Millisecond)
+		if rec.Runner.Zone == p.cfg.Zone {
+			p.merge(rec.Runner, false)
+		}
+	}
+	for id, name := range d.Names {
+		x.names[id] = name
+	}
+	for i := 0; i+1 < len(d.Counts); i += 2 {
+		p.shared[from][x.names[d.Counts[i]]] = int(d.Counts[i+1])
+	}
+	return reply{Unknown: !p.refresh(x, d.Alive, now)}
+}
+
+// refresh renews the entries that a peer heard of since its last digest. It
+// reports false if one of them is missing here, so that the peer sends its
+// records again.
+func (p *Pool) refresh(x *peer, ids []uint64, now time.Time) bool {
+	complete := true
+	for _, id := range ids {
+		e := p.table[x.names[id]]
+		if e == nil {
+			complete = false
+			continue
+		}
+		e.runner.Seen = now
+	}
+	if len(ids) > 0 {
+		p.publish()
+	}
+	return complete
+}
