--- /dev/null
+++ b/pkg/balance/balance.go
@@ -0,0 +1,325 @@
+// Package balance chooses the runner of a request: of two random candidates
+// with a free slot, the one with the lower expected wait. It divides each
+// runner's slots among the zone's hosts, lends idle ones, ejects runners by
+// success rate and probes them before they return.
+//
+// # Usage
+//
+//	b := balance.New(balance.Config{Runners: pool.Runners, Shared: pool.Shared, Share: pool.Share})
+//	r, done, alternatives, err := b.Pick("fit", nil)
+//	answer, err := pool.Send(ctx, r, q)
+//	done(err, time.Since(start))
+//
+// Done takes nil for a success. A context.Canceled error says that the caller
+// has gone and nothing is known about the runner.
+package balance
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+)
+
+// Config holds the settings of a Balancer. Zero values take the defaults.
+type Config struct {
+	// Runners returns the runners of a service that take requests.
+	Runners func(service string) []carawayshift.Runner
+	// Shared returns the requests that other hosts have in flight at a runner.
+	Shared func(name string) int
+	// Share returns this host's rank among the zone's hosts and their number.
+	Share func() (rank, hosts int)
+	// Keep is the part of a service's runners that always stays in use.
+	Keep float64
+	// Cooldown is the time from the first ejection to the first probe.
+	Cooldown time.Duration
+	// Seed makes choices repeatable; 0 takes a random seed.
+	Seed uint64
+}
+
+const (
+	defaultKeep     = 0.5
+	defaultCooldown = 5 * time.Second
+)
+
+// Balancer chooses among the runners of all services.
+type Balancer struct {
+	cfg    Config
+	onFree func(service string)
+
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	targets  map[string]*target
+	services map[string]*service
+}
+
+// service holds what the runners of one service have in common.
+type service struct {
+	mean mean
+}
+
+// New returns a balancer without history.
+func New(cfg Config) *Balancer {
+	if cfg.Shared == nil {
+		cfg.Shared = func(string) int { return 0 }
+	}
+	if cfg.Share == nil {
+		cfg.Share = func() (int, int) { return 0, 1 }
+	}
+	if cfg.Keep <= 0 {
+		cfg.Keep = defaultKeep
+	}
+	if cfg.Cooldown <= 0 {
+		cfg.Cooldown = defaultCooldown
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	return &Balancer{
+		cfg:      cfg,
+		onFree:   func(string) {},
+		rnd:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		targets:  map[string]*target{},
+		services: map[string]*service{},
+	}
+}
+
+// OnFree sets a function that is called, without locks held, when a slot of a
+// service may have become free. Call it before the first Pick.
+func (b *Balancer) OnFree(fn func(service string)) { b.onFree = fn }
+
+// Pick implements carawayshift.Balancer. It never chooses an ejected runner.
+func (b *Balancer) Pick(name string, exclude []string) (carawayshift.Runner, func(error, time.Duration), int, error) {
+	runners := b.cfg.Runners(name)
+	now := time.Now()
+	rank, hosts := b.cfg.Share()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	free := b.free(runners, exclude, now, rank, hosts)
+	if len(free) == 0 {
+		return carawayshift.Runner{}, nil, 0, b.unavailable(name, runners, exclude)
+	}
+	c := b.better(name, free)
+	return c.runner, b.start(name, c.target), len(free) - 1, nil
+}
+
+// Probe chooses an ejected runner whose cooldown has passed and that has no
+// probe in flight. Send it only requests that may run twice.
+func (b *Balancer) Probe(name string, exclude []string) (carawayshift.Runner, func(error, time.Duration), bool) {
+	runners := b.cfg.Runners(name)
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range runners {
+		t := b.target(r)
+		if t.ejected && now.After(t.until) && r.Seen.After(t.unreached) && t.inflight == 0 && !contains(exclude, r.Name) {
+			return r, b.start(name, t), true
+		}
+	}
+	return carawayshift.Runner{}, nil, false
+}
+
+// Usable returns the number of runners that a request may wait for.
+func (b *Balancer) Usable(name string, exclude []string) int {
+	runners := b.cfg.Runners(name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, r := range runners {
+		if b.target(r).usable(r) && !contains(exclude, r.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+// candidate is a runner with a free slot.
+type candidate struct {
+	runner carawayshift.Runner
+	target *target
+	load   int
+}
+
+// free lists the runners that have a slot for this host: its own part, or one
+// that is idle according to the counts of the other hosts.
+func (b *Balancer) free(runners []carawayshift.Runner, exclude []string, now time.Time, rank, hosts int) []candidate {
+	var out []candidate
+	for _, r := range runners {
+		t := b.target(r)
+		if !t.usable(r) || contains(exclude, r.Name) {
+			continue
+		}
+		own := t.inflight + t.held(now)
+		total := own + b.cfg.Shared(r.Name)
+		if own < part(r, rank, hosts) || total < r.Slots {
+			out = append(out, candidate{r, t, total})
+		}
+	}
+	return out
+}
+
+// better takes two random candidates and returns the one with the lower
+// expected wait.
+func (b *Balancer) better(name string, free []candidate) candidate {
+	i := b.rnd.IntN(len(free))
+	if len(free) == 1 {
+		return free[i]
+	}
+	j := b.rnd.IntN(len(free) - 1)
+	if j >= i {
+		j++
+	}
+	mean := b.service(name).mean.value()
+	if free[j].cost(mean) < free[i].cost(mean) {
+		return free[j]
+	}
+	return free[i]
+}
+
+// cost is the expected time to the answer in seconds: the runner's mean time,
+// stretched by its load and by the tries that its success rate costs.
+func (c candidate) cost(mean float64) float64 {
+	m := c.target.mean.or(mean)
+	if m == 0 {
+		m = 1
+	}
+	load := float64(c.load+1) / float64(c.runner.Slots)
+	return m * (1 + load) / max(c.target.rate(), minRate)
+}
+
+// part is this host's part of a runner's slots. The remainder goes to
+// different hosts for different runners.
+func part(r carawayshift.Runner, rank, hosts int) int {
+	if hosts <= 1 {
+		return r.Slots
+	}
+	n := r.Slots / hosts
+	if (rank+int(hash(r.Name)%uint64(hosts)))%hosts < r.Slots%hosts {
+		n++
+	}
+	return n
+}
+
+// start counts a request as in flight. The caller holds the mutex.
+func (b *Balancer) start(name string, t *target) func(error, time.Duration) {
+	t.inflight++
+	incarnation := t.incarnation
+	var once sync.Once
+	return func(err error, elapsed time.Duration) {
+		once.Do(func() {
+			b.finish(name, t, incarnation, err, elapsed)
+			b.onFree(name)
+		})
+	}
+}
+
+func (b *Balancer) finish(name string, t *target, incarnation uint64, err error, elapsed time.Duration) {
+	runners := b.cfg.Runners(name)
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.incarnation != incarnation {
+		return
+	}
+	t.inflight--
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	s := b.service(name)
+	if err == nil {
+		t.mean.add(elapsed)
+		s.mean.add(elapsed)
+	}
+	t.record(err == nil)
+	if carawayshift.KindOf(err) == carawayshift.NotRun {
+		t.unreached = now
+	}
+	if err != nil {
+		t.hold(now, time.Duration(s.mean.value()*float64(time.Second)))
+	}
+	b.judge(t, runners, now, err == nil)
+}
+
+func (b *Balancer) service(name string) *service {
+	s := b.services[name]
+	if s == nil {
+		s = &service{}
+		b.services[name] = s
+	}
+	return s
+}
+
+// target returns the history of a runner and resets it for a new incarnation.
+func (b *Balancer) target(r carawayshift.Runner) *target {
+	t := b.targets[r.Name]
+	if t == nil || t.incarnation != r.Incarnation {
+		t = &target{incarnation: r.Incarnation}
+		b.targets[r.Name] = t
+	}
+	return t
+}
+
+func (b *Balancer) unavailable(name string, runners []carawayshift.Runner, exclude []string) error {
+	text := "all slots of service " + name + " are taken"
+	if len(runners) <= len(exclude) {
+		text = "no runner of service " + name + " is left to try"
+	}
+	return carawayshift.NewError(carawayshift.Unavailable, text, "start runners of the service or send the request later")
+}
+
+// Expect returns the mean time of a request of the service, 0 if unknown, and
+// the number of requests that this host can expect to run at once.
+func (b *Balancer) Expect(name string) (time.Duration, float64) {
+	runners := b.cfg.Runners(name)
+	_, hosts := b.cfg.Share()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slots := 0
+	for _, r := range runners {
+		if !b.target(r).ejected {
+			slots += r.Slots
+		}
+	}
+	mean := time.Duration(b.service(name).mean.value() * float64(time.Second))
+	return mean, float64(slots) / float64(hosts)
+}
+
+// Load returns this host's in-flight counts by runner name, without zeros.
+func (b *Balancer) Load() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := map[string]int{}
+	for name, t := range b.targets {
+		if t.inflight > 0 {
+			out[name] = t.inflight
+		}
+	}
+	return out
+}
+
+// Ejected returns the names of the ejected runners of a service.
+func (b *Balancer) Ejected(name string) []string {
+	runners := b.cfg.Runners(name)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, r := range runners {
+		if b.target(r).ejected {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
