claim: record idempotency keys at a majority of the home zone

Cause: a keyed request runs at most once, also through several hosts. Ruled out: stealing claims of silent owners, which could run a request twice. Change: claims, outcomes, drops with tombstones, recovery of a restarted host from n-q+1 others after one round limit, optional synced file that is written only once its host is ready. Conclusion: a deployment's first start needs Fresh, otherwise keyed requests wait for the retention period.

--- /dev/null
+++ b/pkg/claim/recover.go
@@ -0,0 +1,188 @@
+package claim
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+const (
+	// pageBytes bounds the bodies in one page of claim.records.
+	pageBytes = 256 << 10
+	// pageRecords bounds the records in one page.
+	pageRecords = 2000
+	recoverPoll = time.Second
+)
+
+type pageRequest struct {
+	After string `cbor:"1,keyasint,omitempty"`
+}
+
+// page holds records in key order. Age is their time since the first grant in
+// ms, because hosts' clocks differ.
+type page struct {
+	Records []record `cbor:"1,keyasint,omitempty"`
+	Ages    []int64  `cbor:"2,keyasint,omitempty"`
+	More    bool     `cbor:"3,keyasint,omitempty"`
+}
+
+// recover collects the records of the other hosts of this host's zone. With n
+// hosts and a majority of q it needs n-q+1 others: any such set overlaps every
+// earlier majority in a host other than this one. Without them it waits until
+// all keys of its earlier life are past their retention.
+func (r *Registry) recover(ctx context.Context) error {
+	if r.Ready() {
+		return nil
+	}
+	start := time.Now()
+	if !sleep(ctx, recoveryWait) {
+		return nil
+	}
+	done := map[string]bool{}
+	for !r.collected(ctx, done) && time.Since(start) < r.cfg.Retention {
+		if !sleep(ctx, recoverPoll) {
+			return nil
+		}
+	}
+	if r.cfg.Path != "" {
+		if err := r.rewrite(); err != nil {
+			return err
+		}
+	}
+	r.mu.Lock()
+	r.ready = true
+	r.mu.Unlock()
+	return nil
+}
+
+func (r *Registry) collected(ctx context.Context, done map[string]bool) bool {
+	hosts := r.zoneHosts()
+	need := len(hosts) - majority(len(hosts)) + 1
+	n := 0
+	for _, host := range hosts {
+		if host == r.cfg.Host {
+			continue
+		}
+		if !done[host] {
+			done[host] = r.collect(ctx, host)
+		}
+		if done[host] {
+			n++
+		}
+	}
+	return n >= need && len(hosts) > 1
+}
+
+// zoneHosts returns the hosts of the zone that this host belongs to.
+func (r *Registry) zoneHosts() []string {
+	for _, z := range r.cfg.Zones() {
+		hosts := r.cfg.Hosts(z)
+		for _, h := range hosts {
+			if h == r.cfg.Host {
+				return hosts
+			}
+		}
+	}
+	return nil
+}
+
+func (r *Registry) collect(ctx context.Context, host string) bool {
+	after := ""
+	for {
+		p := r.page(ctx, host, after)
+		if p == nil {
+			return false
+		}
+		r.merge(p)
+		if !p.More || len(p.Records) == 0 {
+			return true
+		}
+		after = p.Records[len(p.Records)-1].Key
+	}
+}
+
+func (r *Registry) page(ctx context.Context, host, after string) *page {
+	body, err := carawayshift.Encode(pageRequest{after})
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, roundLimit)
+	defer cancel()
+	b, err := r.cfg.Transport.Call(ctx, host, methodRecords, body)
+	if err != nil {
+		return nil
+	}
+	var p page
+	if carawayshift.Decode(b, &p) != nil || len(p.Ages) != len(p.Records) {
+		return nil
+	}
+	return &p
+}
+
+// merge adds records. A host that is collecting has granted nothing itself, so
+// that a record with an outcome replaces one without.
+func (r *Registry) merge(p *page) {
+	now := time.Now().UnixMilli()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, rec := range p.Records {
+		old := r.records[rec.Key]
+		if old != nil && (old.Outcome != nil || rec.Outcome == nil) {
+			continue
+		}
+		rec.At = now - p.Ages[i]
+		r.stored += rec.size()
+		r.records[rec.Key] = &rec
+	}
+}
+
+// handleRecords returns one page. A host that is collecting itself refuses.
+func (r *Registry) handleRecords(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var q pageRequest
+	if err := carawayshift.Decode(body, &q); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ready {
+		return nil, unavailable("this host collects the zone's claims itself", "ask another host")
+	}
+	return carawayshift.Encode(r.pageAfter(q.After))
+}
+
+func (r *Registry) pageAfter(after string) page {
+	var keys []string
+	for key := range r.records {
+		if key > after {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	now := time.Now().UnixMilli()
+	var p page
+	size := 0
+	for _, key := range keys {
+		rec := r.records[key]
+		if len(p.Records) > 0 && (size+rec.size() > pageBytes || len(p.Records) >= pageRecords) {
+			p.More = true
+			break
+		}
+		size += rec.size()
+		p.Records = append(p.Records, *rec)
+		p.Ages = append(p.Ages, now-rec.At)
+	}
+	return p
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
