caller: serve /r/{service} with queue, retries, claims and other zones

Cause: first version of the callers' interface for integration. Change: parsing, team limits, queueing, attempts, retries within the budget, claims, forwarding with a hop header and a byte budget, drain. The test runs three hosts and a stand-in on in-memory connections in paused time.

--- /dev/null
+++ b/internal/caller/claimed.go
@@ -0,0 +1,36 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/runner"
+	"carawayshift.example/carawayshift/pkg/claim"
+)
+
+// claimed runs a keyed request if its claim is recorded, and otherwise returns
+// the outcome of the first request with the key.
+func (h *Handler) claimed(ctx context.Context, j *job) (*runner.Answer, error) {
+	if h.cfg.Claims == nil {
+		return nil, notRun("this host takes no keyed requests", "send it to another host")
+	}
+	c, o, err := h.cfg.Claims.Claim(ctx, j.key, j.fingerprint())
+	if err != nil {
+		return nil, err
+	}
+	if o != nil {
+		h.stats.replayed.Inc()
+		return &runner.Answer{Status: o.Status, Header: http.Header(o.Header), Body: o.Body}, nil
+	}
+	a, err := h.route(ctx, j)
+	switch {
+	case err == nil:
+		c.Finish(ctx, claim.Outcome{Status: a.Status, Header: a.Header, Body: a.Body})
+	case carawayshift.KindOf(err) == carawayshift.NotRun:
+		c.Drop(ctx)
+	default:
+		c.Finish(ctx, claim.Outcome{Unknown: true})
+	}
+	return a, err
+}
--- /dev/null
+++ b/internal/caller/net_test.go
@@ -0,0 +1,158 @@
+package caller_test
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// network is an in-memory network of listeners by address.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[string][]net.Conn
+	gates     map[string]chan struct{}
+	resets    map[string]int
+}
+
+func newNetwork() *network {
+	return &network{
+		listeners: map[string]*listener{}, conns: map[string][]net.Conn{},
+		gates: map[string]chan struct{}{}, resets: map[string]int{},
+	}
+}
+
+type listener struct {
+	n       *network
+	address string
+	accept  chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (n *network) listen(address string) (net.Listener, error) {
+	l := &listener{n: n, address: address, accept: make(chan net.Conn), done: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners[address] = l
+	n.mu.Unlock()
+	return l, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errors.Newf("connection to %s refused", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accept <- &link{Conn: far, n: n, address: address}:
+	case <-l.done:
+		return nil, errors.Newf("connection to %s refused", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	n.conns[address] = append(n.conns[address], near, far)
+	n.mu.Unlock()
+	return near, nil
+}
+
+// cut closes all connections to an address.
+func (n *network) cut(address string) {
+	n.mu.Lock()
+	conns := n.conns[address]
+	n.conns[address] = nil
+	n.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// freeze stops the reads and writes of the process at an address until thaw.
+func (n *network) freeze(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.gates[address] == nil {
+		n.gates[address] = make(chan struct{})
+	}
+}
+
+func (n *network) thaw(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if g := n.gates[address]; g != nil {
+		close(g)
+		delete(n.gates, address)
+	}
+}
+
+// reset makes the next reads at an address take one byte and close.
+func (n *network) reset(address string, times int) {
+	n.mu.Lock()
+	n.resets[address] = times
+	n.mu.Unlock()
+}
+
+// link is the server's end of a connection.
+type link struct {
+	net.Conn
+	n       *network
+	address string
+}
+
+func (l *link) wait() {
+	for {
+		l.n.mu.Lock()
+		g := l.n.gates[l.address]
+		l.n.mu.Unlock()
+		if g == nil {
+			return
+		}
+		<-g
+	}
+}
+
+func (l *link) Read(b []byte) (int, error) {
+	l.wait()
+	n, err := l.Conn.Read(b[:min(len(b), 4096)])
+	if n > 0 && l.takeReset() {
+		_ = l.Close()
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (l *link) Write(b []byte) (int, error) {
+	l.wait()
+	return l.Conn.Write(b)
+}
+
+func (l *link) takeReset() bool {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	if l.n.resets[l.address] <= 0 {
+		return false
+	}
+	l.n.resets[l.address]--
+	return true
+}
