--- /dev/null
+++ b/internal/server/options.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"net"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/settings"
+)
+
+// Options configures a Server. The listeners are owned by it.
+type Options struct {
+	Settings  settings.Settings
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	// HTTP serves callers, targets and the platform, Operators the command
+	// language, Peers the other hosts.
+	HTTP      net.Listener
+	Operators net.Listener
+	Peers     net.PacketConn
+	Log       logrus.FieldLogger
+}
+
+// zoneHosts returns the configured hosts of a zone in name order.
+func (o Options) zoneHosts(zone string) []string {
+	var names []string
+	for _, p := range o.Settings.Peers {
+		if p.Zone == zone {
+			names = append(names, p.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// zonePeers returns the other configured hosts of this host's zone.
+func (o Options) zonePeers() []string {
+	var names []string
+	for _, name := range o.zoneHosts(o.Settings.Host.Zone) {
+		if name != o.Settings.Host.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// voters returns the initial members of the replicated group.
+func (o Options) voters() []string {
+	var names []string
+	for _, p := range o.Settings.Peers {
+		if p.Voter {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// entries returns the addresses on which a zone's hosts take requests.
+func (o Options) entries(zone string) []string {
+	var list []string
+	for _, p := range o.Settings.Peers {
+		if p.Zone == zone && p.Name != o.Settings.Host.Name {
+			list = append(list, p.HTTP.String())
+		}
+	}
+	return list
+}
+
+func (o Options) zones() []carawayshift.Zone {
+	var list []carawayshift.Zone
+	for name, region := range o.Settings.Zones {
+		list = append(list, carawayshift.Zone{Name: name, Region: region})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (o Options) zoneNames() []string {
+	var names []string
+	for _, z := range o.zones() {
+		names = append(names, z.Name)
+	}
+	return names
+}
+
+// hopToken marks requests that entry hosts forward to each other. All hosts
+// derive the same one from the key of the deployment's CA, which travels only
+// inside encrypted handshakes.
+func (o Options) hopToken() (string, error) {
+	leaf, err := x509.ParseCertificate(o.ClientTLS.Certificates[0].Certificate[0])
+	if err != nil {
+		return "", errors.Wrap(err, "server.hopToken")
+	}
+	sum := sha256.Sum256(leaf.AuthorityKeyId)
+	return hex.EncodeToString(sum[:]), nil
+}
