placement: add the planner, first version

Cause: the scheduler needs plans: gangs in one zone, guarantees charged and reclaimed, explanations for all that wait.

Ruled out: charging the smallest fitting guarantee cell without search. The binding is now searched depth first. Ruled out: charging a gang to several cells. A gang lies in one zone and the cells of a guarantee need not, so reclaim could fail.

Change: Planner with charge, order, park, drain, refill, reclaim, borrowed work with reservations, and explanations.

--- /dev/null
+++ b/pkg/placement/explain.go
@@ -0,0 +1,304 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/cell"
+)
+
+// Rules that hold a job back, as operators see them.
+const (
+	ruleReclaim     = "reclaim"
+	ruleReserved    = "reservation"
+	ruleBehind      = "behind a reservation"
+	ruleZoneOut     = "zone out"
+	ruleNoZone      = "no zone large enough"
+	ruleNoWorkers   = "no workers"
+	ruleUnusable    = "workers out of use"
+	ruleNoFreeCells = "no free accelerators"
+)
+
+// explain gives every job that keeps waiting its rule.
+func (p *pass) explain() {
+	var releases timeline
+	for i := range p.waiting {
+		g := &p.waiting[i]
+		if p.settled[g.ID] {
+			continue
+		}
+		if releases.steps == nil {
+			releases = p.releases()
+		}
+		p.plan.Waits[g.ID] = p.waitOf(g, &releases)
+	}
+}
+
+func (p *pass) waitOf(g *gang, releases *timeline) carawayshift.Wait {
+	if r := p.reservationOf(g.ID); r != nil {
+		return p.waitReserved(g, r)
+	}
+	if w, ok := p.waitHardware(g); ok {
+		return w
+	}
+	expected := releases.next(g.total())
+	if p.roomWithoutReservations(g) {
+		return p.waitBehind(g, expected)
+	}
+	return carawayshift.Wait{
+		Rule:     ruleNoFreeCells,
+		Frees:    p.outsideGuarantee(g) + ", and no zone has room for " + shape(g) + " now; running work has to end first" + p.firstEnd(),
+		Expected: expected,
+		Next:     p.raiseGuarantee(g),
+	}
+}
+
+func shape(g *gang) string {
+	return fmt.Sprintf("%d tasks of %d accelerators", g.Tasks, g.Accelerators)
+}
+
+func (p *pass) waitReclaim(g *gang, c *candidate) {
+	names := make([]string, 0, len(c.victims))
+	for _, v := range c.victims {
+		names = append(names, fmt.Sprint(p.gangs[v].ID))
+	}
+	p.plan.Waits[g.ID] = carawayshift.Wait{
+		Rule:     ruleReclaim,
+		Frees:    fmt.Sprintf("the guarantee of team %s is reclaimed; stopping: job %s", g.Team, strings.Join(names, ", ")),
+		Expected: p.now.Add(stopTime),
+		Next:     fmt.Sprintf("show job %s", names[0]),
+	}
+	p.settle(g.ID)
+}
+
+func (p *pass) reservationOf(id uint64) *reservation {
+	i := slices.IndexFunc(p.reservations, func(r reservation) bool { return r.job == id })
+	if i < 0 {
+		return nil
+	}
+	return &p.reservations[i]
+}
+
+func (p *pass) waitReserved(g *gang, r *reservation) carawayshift.Wait {
+	zone := p.phys.Worker(r.workers[0].worker).Zone
+	return carawayshift.Wait{
+		Rule:     ruleReserved,
+		Frees:    fmt.Sprintf("%s; %s is reserved in zone %s, running work there has to end first", p.outsideGuarantee(g), shape(g), zone),
+		Expected: r.at,
+		Next:     fmt.Sprintf("show jobs where state = running and zone = %s", zone),
+	}
+}
+
+// waitBehind explains a job that would fit if no larger job were waiting.
+func (p *pass) waitBehind(g *gang, expected time.Time) carawayshift.Wait {
+	first := p.reservations[0]
+	return carawayshift.Wait{
+		Rule: ruleBehind,
+		Frees: fmt.Sprintf("job %d holds a reservation for %s, and this job is expected to run %s, past that time",
+			first.job, first.at.UTC().Format(time.TimeOnly), g.estimate.Round(time.Minute)),
+		Expected: expected,
+		Next:     fmt.Sprintf("why job %d", first.job),
+	}
+}
+
+// roomWithoutReservations reports whether the gang would fit if reservations
+// were given up.
+func (p *pass) roomWithoutReservations(g *gang) bool {
+	if len(p.reservations) == 0 {
+		return false
+	}
+	for _, r := range p.reservations {
+		for _, t := range r.workers {
+			p.phys.Vacate(t.worker, t.units)
+		}
+	}
+	ok := p.anywhere(g) != nil
+	for _, r := range p.reservations {
+		for _, t := range r.workers {
+			p.phys.Occupy(t.worker, t.units)
+		}
+	}
+	return ok
+}
+
+// waitHardware explains a job that doesn't fit even if all other work ended.
+func (p *pass) waitHardware(g *gang) (carawayshift.Wait, bool) {
+	if p.phys.Workers() == 0 {
+		return carawayshift.Wait{
+			Rule: ruleNoWorkers, Frees: "no worker has announced itself", Next: "show workers",
+		}, true
+	}
+	use, most := p.slots(g)
+	if use >= g.Tasks {
+		return carawayshift.Wait{}, false
+	}
+	for z := range p.view.Zones {
+		if n := &p.view.Zones[z]; n.Out && p.slotsIn(z, g, true) >= g.Tasks {
+			return carawayshift.Wait{
+				Rule:  ruleZoneOut,
+				Frees: fmt.Sprintf("only zone %s, which is out, has room for %s", n.Name, shape(g)),
+				Next:  "return zone " + n.Name,
+			}, true
+		}
+	}
+	if most >= g.Tasks {
+		return p.waitUnusable(g), true
+	}
+	return carawayshift.Wait{
+		Rule:  ruleNoZone,
+		Frees: fmt.Sprintf("a zone with room for %s; the workers of the largest zone hold %d such tasks", shape(g), most),
+		Next:  fmt.Sprintf("set job %d tasks %d", g.ID, max(1, most)),
+	}, true
+}
+
+func (p *pass) waitUnusable(g *gang) carawayshift.Wait {
+	w := carawayshift.Wait{
+		Rule:  ruleUnusable,
+		Frees: fmt.Sprintf("workers that are leaving or quarantined have to return before %s fits in one zone", shape(g)),
+		Next:  "show workers",
+	}
+	for _, n := range p.view.Workers {
+		if n.Quarantined {
+			w.Next = "release worker " + n.Name
+			break
+		}
+	}
+	return w
+}
+
+// slots returns the largest number of tasks that one zone could hold if it
+// were empty: on workers that take work, and on all workers.
+func (p *pass) slots(g *gang) (use, all int) {
+	for z := range p.phys.Zones() {
+		use = max(use, p.slotsIn(z, g, false))
+		all = max(all, p.slotsIn(z, g, true))
+	}
+	return use, all
+}
+
+func (p *pass) slotsIn(z int, g *gang, all bool) int {
+	key := slotKey{z, g.Accelerators, g.Cores, g.Memory, all}
+	if n, ok := p.slotCache[key]; ok {
+		return n
+	}
+	n := 0
+	for _, r := range p.phys.ZoneRacks(z) {
+		for _, w := range p.phys.RackWorkers(r) {
+			capacity := p.phys.Capacity(w)
+			if all {
+				capacity = min(p.phys.Worker(w).Accelerators, cell.WorkerSize)
+			}
+			if u := p.phys.Units(w, g.Job); u == g.units {
+				n += capacity / u
+			}
+		}
+	}
+	if p.slotCache == nil {
+		p.slotCache = make(map[slotKey]int)
+	}
+	p.slotCache[key] = n
+	return n
+}
+
+// slotKey addresses a memoised result of slotsIn.
+type slotKey struct {
+	zone, accelerators, cores, memory int
+	all                               bool
+}
+
+// outsideGuarantee says why the gang is not charged to its team's guarantee.
+func (p *pass) outsideGuarantee(g *gang) string {
+	t := &p.teams[g.team]
+	switch {
+	case len(t.Guarantee) == 0:
+		return fmt.Sprintf("team %s has no guarantee", g.Team)
+	case p.largestCell(t) < g.total():
+		return fmt.Sprintf("team %s has no guarantee cell of %d", g.Team, 1<<cell.Level(g.total()))
+	case len(p.levelsFor(t, g.total())) > 0:
+		return fmt.Sprintf("the guarantee of team %s (%s) is short of hardware", g.Team, formatCells(t.Guarantee))
+	}
+	return fmt.Sprintf("team %s uses its guarantee of %s", g.Team, formatCells(t.Guarantee))
+}
+
+func (p *pass) largestCell(t *team) int {
+	n := 0
+	for _, c := range t.Guarantee {
+		if c.Count > 0 {
+			n = max(n, c.Size)
+		}
+	}
+	return n
+}
+
+// raiseGuarantee returns the statement that would make the job guaranteed
+// work when the guarantee can still be packed, and the statement that shows
+// all guarantees otherwise.
+func (p *pass) raiseGuarantee(g *gang) string {
+	l := cell.Level(g.total())
+	if l >= cell.Levels {
+		return fmt.Sprintf("why job %d", g.ID)
+	}
+	need := p.need
+	need[l]++
+	if !p.guard.Fits(&need) {
+		return "show guarantees"
+	}
+	cells := slices.Clone(p.teams[g.team].Guarantee)
+	i := slices.IndexFunc(cells, func(c carawayshift.CellCount) bool { return c.Size == 1<<l })
+	if i < 0 {
+		cells = append(cells, carawayshift.CellCount{Count: 1, Size: 1 << l})
+	} else {
+		cells[i].Count++
+	}
+	return fmt.Sprintf("set team %s guarantee %s", g.Team, formatCells(cells))
+}
+
+// firstEnd names the running job that is expected to end first.
+func (p *pass) firstEnd() string {
+	best := -1
+	for z := range p.phys.Zones() {
+		if gs := p.endsIn(z); len(gs) > 0 {
+			if best < 0 || p.endOf(&p.gangs[gs[0]]).Before(p.endOf(&p.gangs[best])) {
+				best = gs[0]
+			}
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return fmt.Sprintf(", job %d is expected to be the first", p.gangs[best].ID)
+}
+
+// neverRuns says what the job would need.
+func (p *pass) neverRuns(g *gang) string {
+	if g.Tasks <= 0 {
+		return "the job has no tasks; set a number of tasks"
+	}
+	kinds := make([]string, 0, len(p.kinds))
+	for _, k := range p.kinds {
+		kinds = append(kinds, fmt.Sprintf("%d accelerators, %d cores, %d MB", k.Accelerators, k.Cores, k.Memory))
+	}
+	return fmt.Sprintf("each task needs a worker with %d accelerators, %d cores and %d MB; the workers have %s",
+		g.Accelerators, g.Cores, g.Memory, strings.Join(kinds, "; or "))
+}
+
+// formatCells writes cells as in statements: "2x8, 1x32".
+func formatCells(cells []carawayshift.CellCount) string {
+	out := make([]string, 0, len(cells))
+	for _, c := range cells {
+		out = append(out, fmt.Sprintf("%dx%d", c.Count, c.Size))
+	}
+	return strings.Join(out, ", ")
+}
+
+// formatZones lists how many cells of a size each zone has room for.
+func formatZones(f *cell.Forest, size int) string {
+	out := make([]string, 0, f.Zones())
+	for z := range f.Zones() {
+		out = append(out, fmt.Sprintf("zone %s has room for %dx%d", f.ZoneName(z), f.Free(z, cell.Level(size)), size))
+	}
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/pkg/placement/order.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+const (
+	// defaultDeclared is used for jobs without a declared run time.
+	defaultDeclared = time.Hour
+	// minRemaining is the least run time that is assumed to remain.
+	minRemaining = time.Minute
+	// stretch is the allowed wait, as a multiple of the run time, of a job
+	// without a due time. A larger value favours short jobs more.
+	stretch = 4
+	// overhead is the work that stopping and restarting a gang costs besides
+	// the lost run time. It makes reclaim prefer few victims.
+	overhead = 30 * time.Second
+)
+
+// declared returns the run time of the whole job, corrected by the team's
+// observed ratio.
+func (m *model) declared(g *gang) time.Duration {
+	d := g.Declared
+	if d <= 0 {
+		d = defaultDeclared
+	}
+	if r := m.teams[g.team].Ratio; r > 0 {
+		d = time.Duration(float64(d) * r)
+	}
+	return d
+}
+
+// remaining estimates the run time that a job still needs. A job that has run
+// longer than expected is expected to run as long again: run times are
+// heavy-tailed, so a long run says more than the declaration.
+func (m *model) remaining(g *gang) time.Duration {
+	done := g.Checkpoint
+	if g.State == carawayshift.JobRunning {
+		done = max(done, m.now.Sub(g.Started))
+	}
+	left := m.declared(g) - done
+	if left < minRemaining {
+		left = max(done, minRemaining)
+	}
+	return left
+}
+
+// lost returns the accelerator time that stopping the gang throws away. The
+// checkpoint covers run time of all attempts; when it covers more than the
+// present attempt, what this attempt has added to it is unknown, and the whole
+// attempt counts as lost.
+func (m *model) lost(g *gang) time.Duration {
+	if g.State == carawayshift.JobStopping || g.stopped {
+		return 0
+	}
+	var d time.Duration
+	if g.State == carawayshift.JobRunning {
+		d = max(0, m.now.Sub(g.Started))
+		if g.Checkpoint <= d {
+			d -= g.Checkpoint
+		}
+	}
+	return (d + overhead) * time.Duration(max(1, g.Size()))
+}
+
+// sortWaiting orders the waiting jobs: urgent first, then by the latest start
+// that keeps the due time. A job without a due time gets one that is a
+// multiple of its run time after its submission, so short jobs go first and
+// every job moves to the front as it ages. A due time never makes a job later
+// than it would be without one. The key does not depend on the
+// present time, so the order is stable between plans.
+func (m *model) sortWaiting() {
+	for i := range m.waiting {
+		g := &m.waiting[i]
+		g.key = m.latestStart(g)
+	}
+	slices.SortFunc(m.waiting, func(a, b gang) int {
+		if a.Urgent != b.Urgent {
+			if a.Urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.key.Compare(b.key), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+func (m *model) latestStart(g *gang) time.Time {
+	allowed := stretch * g.estimate
+	if m.view.Objective == carawayshift.ObjectivePacking {
+		allowed = packingStretch(allowed, g.total())
+	}
+	key := g.Submitted.Add(allowed)
+	if g.Due.IsZero() {
+		return key
+	}
+	if due := g.Due.Add(-g.estimate); due.Before(key) {
+		return due
+	}
+	return key
+}
+
+// packingStretch shortens the allowed wait of gangs larger than a worker.
+func packingStretch(d time.Duration, units int) time.Duration {
+	for ; units > 8; units /= 2 {
+		d /= 2
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/placement/pass.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/cell"
+)
+
+// pass collects the decisions of one plan.
+type pass struct {
+	*model
+	plan carawayshift.Plan
+	// settled marks waiting jobs that were started, parked or explained.
+	settled map[uint64]bool
+	// reservations are the cells kept for large gangs, in order.
+	reservations []reservation
+	// ends lists the active gangs of each zone by expected end, once needed.
+	ends      [][]int
+	slotCache map[slotKey]int
+}
+
+func (p *pass) settle(id uint64) {
+	if p.settled == nil {
+		p.settled = make(map[uint64]bool)
+	}
+	p.settled[id] = true
+}
+
+// park sets aside jobs that no present kind of worker can run. The kinds
+// include workers that are leaving, quarantined or in a zone that is out, as
+// those may return. Without any worker nothing is known about kinds.
+func (p *pass) park() {
+	if len(p.kinds) == 0 {
+		return
+	}
+	for i := range p.waiting {
+		g := &p.waiting[i]
+		if g.units > 0 && g.Tasks > 0 {
+			continue
+		}
+		p.plan.Parks = append(p.plan.Parks, carawayshift.Park{Job: g.ID, Reason: p.neverRuns(g)})
+		p.settle(g.ID)
+	}
+}
+
+// start adds a start with the given worker for each task and takes the units.
+func (p *pass) start(g *gang, ws []int, borrowed bool, reason string, alternatives int) {
+	s := carawayshift.Start{Job: g.ID, Borrowed: borrowed, Reason: reason, Alternatives: alternatives}
+	s.Placements = make([]carawayshift.TaskPlacement, len(ws))
+	for i, w := range ws {
+		n := p.phys.Worker(w)
+		s.Zone = n.Zone
+		s.Placements[i] = carawayshift.TaskPlacement{
+			Task: i, Worker: n.Name, Incarnation: n.Incarnation, Accelerators: g.Accelerators,
+		}
+		p.phys.Occupy(w, p.phys.Units(w, g.Job))
+	}
+	if borrowed {
+		p.teams[g.team].borrowed += g.total()
+	}
+	p.plan.Starts = append(p.plan.Starts, s)
+	p.settle(g.ID)
+}
+
+// stop asks for the end of a running gang once.
+func (p *pass) stop(i int, forJob uint64, reason string) {
+	g := &p.gangs[i]
+	if g.stopped || g.State == carawayshift.JobStopping {
+		return
+	}
+	g.stopped = true
+	p.plan.Stops = append(p.plan.Stops, carawayshift.Stop{Job: g.ID, Attempt: g.Attempt, Reason: reason, For: forJob})
+}
+
+// drain stops the work of zones that are out, least lost work first, a part of
+// the zone at a time so that each batch can start elsewhere before the next
+// one stops.
+func (p *pass) drain() {
+	for z := range p.view.Zones {
+		if p.view.Zones[z].Out {
+			p.drainZone(z)
+		}
+	}
+}
+
+func (p *pass) drainZone(z int) {
+	var running []int
+	stopping, all := 0, 0
+	for i := range p.gangs {
+		g := &p.gangs[i]
+		if g.zone != z {
+			continue
+		}
+		all += g.Size()
+		if g.State == carawayshift.JobStopping {
+			stopping += g.Size()
+			continue
+		}
+		running = append(running, i)
+	}
+	slices.SortStableFunc(running, func(a, b int) int {
+		return cmp.Compare(p.lost(&p.gangs[a]), p.lost(&p.gangs[b]))
+	})
+	batch := max(all/drainParts, minDrainBatch)
+	for _, i := range running {
+		if stopping >= batch {
+			return
+		}
+		stopping += p.gangs[i].Size()
+		p.stop(i, 0, fmt.Sprintf("zone %s is out", p.view.Zones[z].Name))
+	}
+}
+
+const (
+	// drainParts is the number of batches in which a full zone is emptied.
+	drainParts = 4
+	// minDrainBatch is the least number of accelerators that stop at a time.
+	minDrainBatch = 64
+	// refillWindow is the time after the return of a zone during which it is
+	// filled with the largest waiting gangs first. Stops, reports and starts
+	// of the jobs that moved away take less than half of it.
+	refillWindow = 30 * time.Second
+)
+
+// refill places the largest waiting gangs in zones that have just returned.
+// Guaranteed work keeps its rights: what is placed here is borrowed work,
+// unless its team has a cell for it.
+func (p *pass) refill() {
+	for z := range p.view.Zones {
+		n := &p.view.Zones[z]
+		if n.Out || n.Changed.IsZero() || p.now.Sub(n.Changed) > refillWindow || p.now.Before(n.Changed) {
+			continue
+		}
+		p.refillZone(z)
+	}
+}
+
+func (p *pass) refillZone(z int) {
+	order := make([]int, 0, len(p.waiting))
+	for i := range p.waiting {
+		if !p.settled[p.waiting[i].ID] && p.waiting[i].total() > cell.WorkerSize {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return p.waiting[b].total() - p.waiting[a].total() })
+	for _, i := range order {
+		g := &p.waiting[i]
+		if c, ok := p.bestCell(g); ok && c.free() {
+			p.charge1(g, c, "largest waiting gang for a zone that returned")
+			continue
+		}
+		if ws := p.findIn(z, g); ws != nil {
+			p.start(g, ws, true, "largest waiting gang for a zone that returned", p.alternatives(g))
+		}
+	}
+}
+
+// alternatives estimates how many other cells could have held the gang.
+func (p *pass) alternatives(g *gang) int {
+	return max(0, p.phys.FreeAll(cell.Level(g.total())))
+}
--- /dev/null
+++ b/pkg/placement/planner.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/cell"
+)
+
+// Planner implements carawayshift.Planner. It has no state: plans depend on
+// the time and the view alone, and one Planner may be used concurrently.
+type Planner struct{}
+
+var _ carawayshift.Planner = Planner{}
+
+// New returns a Planner.
+func New() Planner { return Planner{} }
+
+// Plan decides which jobs to start, stop and park, and explains the others.
+func (Planner) Plan(now time.Time, v carawayshift.View) carawayshift.Plan {
+	m := newModel(now, &v)
+	p := &pass{model: m}
+	p.plan.Waits = make(map[uint64]carawayshift.Wait, len(m.waiting))
+	m.sortWaiting()
+	p.park()
+	p.drain()
+	p.refill()
+	p.guaranteed()
+	p.borrowed()
+	p.explain()
+	p.plan.Shortfalls = m.shortfalls()
+	return p.plan
+}
+
+// CheckGuarantees returns an Error of kind Refused that names the cells that
+// are short, and the free cells of each zone, when the guarantees of all teams
+// can't be packed on the workers that take work. Running jobs don't count.
+func (Planner) CheckGuarantees(v carawayshift.View) error {
+	f := cell.New(v.Zones, v.Workers)
+	var cells []carawayshift.CellCount
+	for _, t := range v.Teams {
+		for _, c := range t.Guarantee {
+			if err := checkCell(t.Name, c); err != nil {
+				return err
+			}
+			cells = append(cells, c)
+		}
+	}
+	short := f.Short(cells)
+	if len(short) == 0 {
+		return nil
+	}
+	text := fmt.Sprintf("the guarantees of all teams need %s more than there is room for: %s",
+		formatCells(short), formatZones(f, short[0].Size))
+	return carawayshift.NewError(carawayshift.Refused, text,
+		fmt.Sprintf("lower a guarantee by %s, or return a zone or workers to service", formatCells(short)))
+}
+
+func checkCell(team string, c carawayshift.CellCount) error {
+	if c.Count >= 0 && c.Size > 0 && c.Size&(c.Size-1) == 0 && c.Size < 1<<cell.Levels {
+		return nil
+	}
+	return carawayshift.NewError(carawayshift.Refused,
+		fmt.Sprintf("team %s: %dx%d is not a count of cells", team, c.Count, c.Size),
+		fmt.Sprintf("use a size that is a power of two up to %d", 1<<(cell.Levels-1)))
+}
+
+// shortfalls lists the guarantee cells that have no room. Cells without a
+// place are given up smallest team order last, so the report is stable.
+func (m *model) shortfalls() []carawayshift.Shortfall {
+	need := m.need
+	var out []carawayshift.Shortfall
+	for {
+		l, n := m.guard.ShortAt(&need)
+		if n == 0 {
+			return out
+		}
+		for need[l] == 0 {
+			l++
+		}
+		n = min(n, need[l])
+		need[l] -= n
+		out = m.blame(out, l, n)
+	}
+}
+
+// blame assigns n missing cells of a level to the teams that have unbound
+// cells of that level, last team first.
+func (m *model) blame(out []carawayshift.Shortfall, level, n int) []carawayshift.Shortfall {
+	for i := len(m.teams) - 1; i >= 0 && n > 0; i-- {
+		t := &m.teams[i]
+		missing := min(n, t.left[level])
+		for _, s := range out {
+			if s.Team == t.Name && s.Size == 1<<level {
+				missing = min(missing, t.left[level]-s.Missing)
+			}
+		}
+		if missing <= 0 {
+			continue
+		}
+		n -= missing
+		out = append(out, carawayshift.Shortfall{Team: t.Name, Size: 1 << level, Missing: missing})
+	}
+	return out
+}
