Add the operators' query and command language

Cause: operators control the system with statements, and a faulty one must be answered with a position, what was expected and the nearest valid form.

Change: internal/statement parses with participle into a Statement that holds domain structs, filters and orders rows, and reports a Fault. The grammar takes any word where a table, column or field stands; the builder checks those words because it can suggest near ones, which the parser's own error can't.

Ruled out: the expectation text of participle, which names one rule of the grammar and not the words that an operator can type.

--- /dev/null
+++ b/internal/statement/fault.go
@@ -0,0 +1,333 @@
+package statement
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/alecthomas/participle/v2"
+
+	"carawayshift.example/carawayshift"
+)
+
+// Fault says what is wrong with a statement.
+type Fault struct {
+	// Position is the character at which the fault is, from 1.
+	Position int
+	// Found is the word at the position, or "the end".
+	Found string
+	// Expected lists what could stand there.
+	Expected []string
+	// Near is the expected word that is most like the found one, or "".
+	Near string
+	// Form is the nearest valid form.
+	Form string
+}
+
+func (f *Fault) Error() string { return f.Unwrap().Error() }
+
+// Unwrap returns the fault as an error of kind Malformed with a remedy.
+func (f *Fault) Unwrap() error {
+	text := fmt.Sprintf("character %d: found %s, expected %s", f.Position, f.Found, join(f.Expected))
+	remedy := "the nearest form is: " + f.Form
+	if f.Near != "" {
+		remedy = "did you mean " + f.Near + "? " + remedy
+	}
+	return carawayshift.NewError(carawayshift.Malformed, text, remedy)
+}
+
+func join(words []string) string {
+	if len(words) < 2 {
+		return strings.Join(words, "")
+	}
+	last := len(words) - 1
+	return strings.Join(words[:last], ", ") + " or " + words[last]
+}
+
+// form is one way to write a statement, with an example.
+type form struct {
+	verb    string
+	object  string
+	example string
+	meaning string
+}
+
+var forms = []form{
+	{"show", "jobs", "show jobs where state = waiting and team = carnival order by due limit 20", "list jobs"},
+	{"show", "teams", "show teams", "list teams with guarantees and use"},
+	{"show", "guarantees", "show guarantees", "list guarantees and what is short"},
+	{"show", "zones", "show zones", "list zones, who took them out and why"},
+	{"show", "workers", "show workers where free > 0 and zone = belmont", "list workers"},
+	{"show", "runners", "show runners where service = wigs", "list runners"},
+	{"show", "hosts", "show hosts", "list entry hosts and the version in force there"},
+	{"show", "notes", "show notes since yesterday", "list notes"},
+	{"show", "quarantine", "show quarantine", "list workers in quarantine"},
+	{"show", "config", "show config", "list settings"},
+	{"show", "version", "show version", "show the configuration version and the leader"},
+	{"why", "job", "why job 41", "say what holds a job back and what would free it"},
+	{"explain", "", "explain drain zone belmont", "say what a statement would do, or what a rule means"},
+	{"note", "", `note "compressor noise in hall 2"`, "leave a note for other operators"},
+	{"note", "on", `note on job 41 "customer calls at 05:00"`, "leave a note on a job, team, zone, worker, runner or host"},
+	{"create", "team", "create team carnival guarantee 2x8, 1x32 limit 50", "add a team"},
+	{"create", "zone", "create zone belmont region north", "add a zone"},
+	{"create", "job", "create job mask-render team carnival tasks 4 accelerators 8 cores 8 memory 64GB run 2h due 06:00 urgent", "add a job"},
+	{"set", "team", "set team carnival guarantee 4x8", "change a team's guarantee or limit"},
+	{"set", "job", "set job 41 due 07:00 urgent", "change a job"},
+	{"set", "config", "set config objective = packing", "change a setting"},
+	{"cancel", "job", "cancel job 41", "cancel a job"},
+	{"cancel", "jobs", "cancel jobs where team = carnival and state = waiting", "cancel all jobs that match"},
+	{"hold", "job", "hold job 41", "keep a job from running until it is released"},
+	{"release", "job", "release job 41", "let a held or parked job wait for its turn again"},
+	{"release", "worker", "release worker w7", "end a worker's quarantine"},
+	{"drain", "zone", `drain zone belmont because "switch swap at 02:00"`, "take a zone out: nothing starts there, running work is moved"},
+	{"return", "zone", "return zone belmont", "put a zone back into service"},
+	{"help", "", "help create", "list the forms"},
+}
+
+// Help lists the forms whose verb or object is the topic, or all of them.
+func Help(topic string) string {
+	var b strings.Builder
+	for _, f := range forms {
+		if topic == "" || f.verb == topic || f.object == topic {
+			fmt.Fprintf(&b, "%s\n    %s\n", f.example, f.meaning)
+		}
+	}
+	if b.Len() == 0 {
+		return Help("")
+	}
+	b.WriteString("Commands take: because \"reason\", and: if version N\n")
+	return b.String()
+}
+
+func verbs() []string {
+	var words []string
+	for _, f := range forms {
+		if !slices.Contains(words, f.verb) {
+			words = append(words, f.verb)
+		}
+	}
+	return words
+}
+
+func objects(verb string) []string {
+	var words []string
+	for _, f := range forms {
+		if f.verb == verb && f.object != "" {
+			words = append(words, f.object)
+		}
+	}
+	return words
+}
+
+// nearestForm returns the example whose verb and object are most like the
+// first two words of the text.
+func nearestForm(text string) string {
+	words := append(strings.Fields(strings.ToLower(text)), "", "")
+	best, least := forms[0].example, 1<<30
+	for _, f := range forms {
+		// The verb counts more: it decides what the statement is about.
+		d := 3*distance(words[0], f.verb) + distance(words[1], f.object)
+		if d < least {
+			best, least = f.example, d
+		}
+	}
+	return best
+}
+
+// near returns the candidate that differs from the word in at most a third
+// of its letters, rounded up, or "".
+func near(word string, candidates []string) string {
+	best, least := "", (len(word)+2)/3+1
+	for _, c := range candidates {
+		if d := distance(strings.ToLower(word), c); d < least {
+			best, least = c, d
+		}
+	}
+	return best
+}
+
+// distance is the number of letters to insert, delete, replace or swap with
+// their neighbour that turns a into b.
+func distance(a, b string) int {
+	if len(a) > maxWord || len(b) > maxWord {
+		return maxWord
+	}
+	before, last := make([]int, len(b)+1), make([]int, len(b)+1)
+	for j := range last {
+		last[j] = j
+	}
+	for i := range len(a) {
+		row := make([]int, len(b)+1)
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			row[j+1] = min(last[j+1]+1, row[j]+1, last[j]+cost)
+			if i > 0 && j > 0 && a[i] == b[j-1] && a[i-1] == b[j] {
+				row[j+1] = min(row[j+1], before[j-1]+1)
+			}
+		}
+		before, last = last, row
+	}
+	return last[len(b)]
+}
+
+const blanks = " \t\r\n"
+
+// maxWord bounds the work for the suggestion of near words.
+const maxWord = 40
+
+func checkText(text string) *Fault {
+	if strings.TrimSpace(text) == "" {
+		return &Fault{Position: 1, Found: "the end", Expected: verbs(), Form: forms[0].example}
+	}
+	if len(text) > MaxLength {
+		return &Fault{Position: MaxLength, Found: "more text", Expected: []string{"at most 4,096 bytes"}, Form: nearestForm(text[:MaxLength])}
+	}
+	position := 0
+	for i, r := range text {
+		position++
+		if r == utf8.RuneError || unicode.IsControl(r) && r != '\n' && r != '\t' && r != '\r' {
+			return &Fault{Position: position, Found: fmt.Sprintf("byte 0x%02x", text[i]), Expected: []string{"printable UTF-8 text"}, Form: nearestForm(text)}
+		}
+	}
+	return nil
+}
+
+// syntaxFault turns a parser's error into a Fault.
+func syntaxFault(text string, err error) *Fault {
+	offset := len(text)
+	var perr participle.Error
+	if errors.As(err, &perr) {
+		offset = perr.Position().Offset
+	}
+	if first := wordAt(text); !slices.Contains(verbs(), strings.ToLower(first)) {
+		return faultAt(text, len(text)-len(strings.TrimLeft(text, blanks)), verbs())
+	}
+	return faultAt(text, mistyped(text, offset), expected(text, offset))
+}
+
+// mistyped returns the offset of a clause of show that was taken for a name,
+// as in "show jobs whre state = waiting", or the given offset.
+func mistyped(text string, offset int) int {
+	before := strings.Fields(text[:offset])
+	if len(before) != 3 || !strings.EqualFold(before[0], "show") || near(before[2], clauses) == "" {
+		return offset
+	}
+	return strings.LastIndex(text[:offset], before[2])
+}
+
+// faultAt describes the word at a byte offset.
+func faultAt(text string, offset int, expected []string) *Fault {
+	if len(expected) == 0 {
+		// Words that are not separated by blanks hide the context.
+		expected = []string{"the words of the nearest form"}
+	}
+	f := &Fault{
+		Position: utf8.RuneCountInString(text[:offset]) + 1,
+		Found:    "the end", Expected: expected, Form: nearestForm(text),
+	}
+	word := wordAt(text[offset:])
+	if strings.ContainsAny(word, "“”„") {
+		f.Expected = []string{`straight double quotes: "`}
+	}
+	if word != "" {
+		f.Found, f.Near = fmt.Sprintf("%q", word), near(word, expected)
+	}
+	return f
+}
+
+func wordAt(s string) string {
+	s = strings.TrimLeft(s, blanks)
+	end := strings.IndexFunc(s, func(r rune) bool {
+		return !(unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("._:-", r))
+	})
+	if end == 0 {
+		_, end = utf8.DecodeRuneInString(s)
+	}
+	if end < 0 || end > maxWord {
+		end = min(len(s), maxWord)
+	}
+	return strings.ToValidUTF8(s[:end], "")
+}
+
+var (
+	clauses   = []string{"where", "order", "limit", "since"}
+	operators = []string{"=", "!=", "<", ">", "<=", ">="}
+	joints    = []string{"where", "and", "or", "("}
+)
+
+// expected lists what can stand at the offset. The parser's own error names
+// one rule of the grammar only, so the words are taken from the context.
+func expected(text string, offset int) []string {
+	words := strings.Fields(strings.ToLower(text[:offset]))
+	if strings.HasPrefix(strings.TrimSpace(text[offset:]), `"`) {
+		return []string{"a closing double quote"}
+	}
+	if len(words) == 0 {
+		return verbs()
+	}
+	last, beforeLast := words[len(words)-1], ""
+	if len(words) > 1 {
+		beforeLast = words[len(words)-2]
+	}
+	switch {
+	case words[0] == "note":
+		return []string{"on", "a text in double quotes"}
+	case len(words) == 1 && words[0] != "help":
+		return objects(words[0])
+	case last == "because":
+		return []string{"a reason in double quotes"}
+	case last == "if":
+		return []string{"version"}
+	case last == "version" && beforeLast == "if":
+		return []string{"a version number"}
+	}
+	return expectedInside(words, last, beforeLast)
+}
+
+// expectedInside lists what can follow the last of at least two words.
+func expectedInside(words []string, last, beforeLast string) []string {
+	switch {
+	case slices.Contains(operators, last):
+		return []string{"a value"}
+	case slices.Contains(joints, last):
+		return []string{"a column", "("}
+	case slices.Contains(joints, beforeLast):
+		return operators
+	case slices.Contains(operators, beforeLast):
+		return []string{"and", "or", ")", "order", "limit", "since", "because", "the end"}
+	case last == "order":
+		return []string{"by"}
+	case last == "by":
+		return []string{"a column"}
+	case last == "limit" || last == "since":
+		return []string{"a value"}
+	}
+	return expectedAfter(words, last)
+}
+
+func expectedAfter(words []string, last string) []string {
+	switch words[0] {
+	case "show":
+		return append(slices.Clone(clauses), "the end")
+	case "cancel":
+		if last == "jobs" {
+			return []string{"where"}
+		}
+	case "create", "set":
+		if len(words) == 3 && words[1] == "config" {
+			return []string{"="}
+		}
+		return []string{"a field and its value", "because", "if", "the end"}
+	}
+	if len(words) == 2 {
+		return []string{"a name or number"}
+	}
+	return []string{"because", "if", "the end"}
+}
--- /dev/null
+++ b/internal/statement/fields.go
@@ -0,0 +1,174 @@
+package statement
+
+import (
+	"slices"
+	"strings"
+
+	"carawayshift.example/carawayshift"
+)
+
+// fieldNames lists the fields that a create or set statement can give.
+func fieldNames(s Statement) []string {
+	switch s.Object {
+	case "team":
+		return []string{"guarantee", "limit"}
+	case "zone":
+		return []string{"region"}
+	}
+	names := []string{"tasks", "accelerators", "cores", "memory", "run", "due", "urgent", "overnight"}
+	if s.Verb == "set" {
+		return append(names, "name")
+	}
+	return append(names, "team")
+}
+
+// fields reads the fields into the statement's Team, Zone or Values.
+func (b builder) fields(s *Statement, fields []*field) error {
+	switch s.Object {
+	case "team":
+		s.Team = &carawayshift.Team{Name: s.Name}
+	case "zone":
+		s.Zone = &carawayshift.Zone{Name: s.Name}
+	case "job":
+		s.Values = &carawayshift.Job{ID: s.Job}
+		if s.Verb == "create" {
+			s.Values.Name = s.Name
+		}
+	}
+	for _, f := range fields {
+		if err := b.field(s, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b builder) field(s *Statement, f *field) error {
+	key := strings.ToLower(f.Key + f.Flag)
+	names := fieldNames(*s)
+	if !slices.Contains(names, key) || slices.Contains(s.Changed, key) {
+		return b.fault(f.Pos.Offset, without(names, s.Changed)...)
+	}
+	if key == "overnight" {
+		s.Values.Urgent = false
+		key = "urgent"
+	} else if key == "urgent" {
+		s.Values.Urgent = true
+	}
+	s.Changed = append(s.Changed, key)
+	if f.Flag != "" {
+		return nil
+	}
+	if key != "guarantee" && len(f.Values) > 1 {
+		return b.fault(f.Values[1].Pos.Offset, "one value")
+	}
+	for i, w := range f.Values {
+		if what := b.value(s, key, i, w.Text); what != "" {
+			return b.fault(w.Pos.Offset, what)
+		}
+	}
+	return nil
+}
+
+// value stores the value of a field, the i-th in its list. It returns what
+// was expected when the value can't be read, and "" otherwise.
+func (b builder) value(s *Statement, key string, i int, text string) string {
+	switch key {
+	case "guarantee":
+		return b.guarantee(s, i, text)
+	case "region":
+		s.Zone.Region = text
+	case "team":
+		s.Values.Team = text
+	case "name":
+		s.Values.Name = text
+	case "run":
+		return b.run(s, text)
+	case "due":
+		return b.due(s, text)
+	case "memory":
+		return b.memory(s, text)
+	default:
+		return b.count(s, key, text)
+	}
+	return ""
+}
+
+func (b builder) guarantee(s *Statement, i int, text string) string {
+	if i == 0 && strings.EqualFold(text, "none") {
+		return ""
+	}
+	c, ok := parseCells(text)
+	if !ok {
+		return "cells such as 2x8: a count and a power of two"
+	}
+	s.Team.Guarantee = append(s.Team.Guarantee, c)
+	return ""
+}
+
+func (b builder) run(s *Statement, text string) string {
+	d, ok := parseDuration(text)
+	if !ok || d == 0 {
+		return "a duration such as 90m, 2h or 1d"
+	}
+	s.Values.Declared = d
+	return ""
+}
+
+func (b builder) due(s *Statement, text string) string {
+	if s.Verb == "set" && strings.EqualFold(text, "none") {
+		return ""
+	}
+	t, ok := parseMoment(text, b.now, true)
+	if !ok {
+		return "a time in UTC such as 06:00, tomorrow or 2026-12-05T06:00"
+	}
+	s.Values.Due = t
+	return ""
+}
+
+func (b builder) memory(s *Statement, text string) string {
+	mb, ok := parseMemory(text)
+	if !ok {
+		return "an amount such as 64GB or 512MB"
+	}
+	s.Values.Memory = mb
+	return ""
+}
+
+func (b builder) count(s *Statement, key, text string) string {
+	n, ok := parseCount(text)
+	if !ok {
+		return "a whole number"
+	}
+	switch key {
+	case "limit":
+		s.Team.Limit = n
+		return ""
+	case "cores":
+		s.Values.Cores = n
+		return ""
+	case "tasks":
+		s.Values.Tasks = n
+	case "accelerators":
+		s.Values.Accelerators = n
+	}
+	if n == 0 {
+		return "1 or more"
+	}
+	return ""
+}
+
+// without returns the words that are not in the other list.
+func without(words, other []string) []string {
+	var rest []string
+	for _, w := range words {
+		if !slices.Contains(other, w) {
+			rest = append(rest, w)
+		}
+	}
+	if len(rest) == 0 {
+		return []string{"because", "if", "the end"}
+	}
+	return rest
+}
--- /dev/null
+++ b/internal/statement/grammar.go
@@ -0,0 +1,109 @@
+package statement
+
+import (
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// The grammar is wider than the language: it takes any word where a name of a
+// table, column or field stands. The builder checks those words, because it
+// knows which ones are near.
+type (
+	tree struct {
+		Show   *show     `parser:"( 'show' @@"`
+		Why    *why      `parser:"| 'why' @@"`
+		Note   *note     `parser:"| 'note' @@"`
+		Create *assign   `parser:"| 'create' @@"`
+		Set    *assign   `parser:"| 'set' @@"`
+		Cancel *cancel   `parser:"| 'cancel' @@"`
+		Switch *switched `parser:"| @@"`
+		Help   *help     `parser:"| 'help' @@ )"`
+		Tail   []*tail   `parser:"@@*"`
+	}
+	word struct {
+		Pos  lexer.Position
+		Text string `parser:"@(Word | String)"`
+	}
+	show struct {
+		Table *word          `parser:"@@"`
+		Name  *word          `parser:"( (?! 'where' | 'order' | 'limit' | 'since' | 'because' | 'if') @@ )?"`
+		Where []*disjunction `parser:"( 'where' @@"`
+		Order []*orderBy     `parser:"| 'order' 'by' @@"`
+		Limit []*word        `parser:"| 'limit' @@"`
+		Since []*word        `parser:"| 'since' @@ )*"`
+	}
+	orderBy struct {
+		Keys []*sortKey `parser:"@@ ( ',' @@ )*"`
+	}
+	sortKey struct {
+		Column *word  `parser:"@@"`
+		Way    string `parser:"@( 'asc' | 'desc' )?"`
+		index  int
+	}
+	disjunction struct {
+		Any []*conjunction `parser:"@@ ( 'or' @@ )*"`
+	}
+	conjunction struct {
+		All []*term `parser:"@@ ( 'and' @@ )*"`
+	}
+	term struct {
+		Group  *disjunction `parser:"'(' @@ ')'"`
+		Column *word        `parser:"| @@"`
+		Op     string       `parser:"@Op"`
+		Value  *word        `parser:"@@"`
+		index  int
+		value  any
+	}
+	why struct {
+		Job *word `parser:"'job'? @@"`
+	}
+	note struct {
+		Kind *word `parser:"( 'on' @@"`
+		Name *word `parser:"@@ )?"`
+		Text *word `parser:"@@"`
+	}
+	assign struct {
+		Kind   *word    `parser:"@@"`
+		Name   *word    `parser:"@@"`
+		Value  *word    `parser:"( '=' @@ )?"`
+		Fields []*field `parser:"( (?! 'because' | 'if') @@ )*"`
+	}
+	field struct {
+		Pos    lexer.Position
+		Flag   string  `parser:"@( 'urgent' | 'overnight' )"`
+		Key    string  `parser:"| @Word '='?"`
+		Values []*word `parser:"@@ ( ',' @@ )*"`
+	}
+	cancel struct {
+		Where *disjunction `parser:"'jobs' 'where' @@"`
+		Job   *word        `parser:"| 'job' @@"`
+	}
+	switched struct {
+		Verb string `parser:"@( 'hold' | 'release' | 'drain' | 'return' )"`
+		Kind *word  `parser:"@@"`
+		Name *word  `parser:"@@"`
+	}
+	help struct {
+		Topic []*word `parser:"@@*"`
+	}
+	tail struct {
+		Pos     lexer.Position
+		Because *word `parser:"'because' @@"`
+		Version *word `parser:"| 'if' 'version' @@"`
+	}
+)
+
+var language = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "String", Pattern: `"(\\["\\]|[^"\\])*"`},
+	{Name: "Word", Pattern: `[A-Za-z0-9][A-Za-z0-9._:\-]*`},
+	{Name: "Op", Pattern: `!=|<=|>=|=|<|>`},
+	{Name: "Punct", Pattern: `[(),]`},
+	{Name: "space", Pattern: `[ \t\r\n]+`},
+})
+
+var parser = participle.MustBuild[tree](
+	participle.Lexer(language),
+	participle.Unquote("String"),
+	participle.CaseInsensitive("Word"),
+	participle.UseLookahead(2),
+)
--- /dev/null
+++ b/internal/statement/statement.go
@@ -0,0 +1,116 @@
+// Package statement parses the operators' query and command language.
+//
+// # Usage
+//
+//	s, err := statement.Parse(`show jobs where state = waiting limit 20`, time.Now())
+//	rows = s.Arrange(rows) // filter, order and limit
+//
+// An error is a *Fault: it has the position, what was found and expected, a
+// near word, and the nearest valid form. Times of day are in UTC. A time of
+// day after "due" is the next one, after "since" the last one.
+//
+// Statements are at most 4,096 bytes long, in UTF-8. Words outside quotes are
+// letters, digits, and . _ : - after the first character. Keywords may be
+// written in any case, names may not.
+package statement
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+// MaxLength is the longest statement in bytes.
+const MaxLength = 4096
+
+// Statement is one parsed statement. Fields that its verb does not use are
+// zero.
+type Statement struct {
+	// Verb is show, why, explain, note, create, set, cancel, hold, release,
+	// drain, return or help.
+	Verb string
+	// Object is the table of show, and the kind of object of other verbs:
+	// job, jobs, team, zone, config, worker.
+	Object string
+	// Name is the object's name, or the key of a setting.
+	Name string
+	// Job is the id of the job that the statement is about.
+	Job uint64
+	// Text is the text of a note, the subject of explain, or the topic of
+	// help.
+	Text string
+	// Team, Zone and Values hold what create and set give.
+	Team   *carawayshift.Team
+	Zone   *carawayshift.Zone
+	Values *carawayshift.Job
+	// Changed lists the fields that set names, in the order of the text.
+	Changed []string
+	// Value is the value of a setting.
+	Value string
+	// Because is the operator's reason, IfVersion the version at which alone
+	// the command is accepted, 0 for any.
+	Because   string
+	IfVersion uint64
+
+	where *disjunction
+	order []sortKey
+	limit int
+	since time.Time
+}
+
+// Command reports whether the statement changes the state.
+func (s Statement) Command() bool {
+	switch s.Verb {
+	case "show", "why", "explain", "help":
+		return false
+	}
+	return true
+}
+
+// Limited reports whether the statement sets its own limit of rows.
+func (s Statement) Limited() bool { return s.limit > 0 }
+
+// Parse reads one statement. Now is the reference of relative times.
+func Parse(text string, now time.Time) (Statement, error) {
+	if f := checkText(text); f != nil {
+		return Statement{}, f
+	}
+	if subject, ok := explained(text); ok {
+		if subject == "" {
+			return Statement{}, faultAt(text, len(text), []string{"a statement or the name of a rule"})
+		}
+		return Statement{Verb: "explain", Text: subject}, nil
+	}
+	tree, err := parser.ParseString("", text)
+	if err != nil {
+		return Statement{}, syntaxFault(text, err)
+	}
+	b := builder{text: text, now: now.UTC()}
+	s, err := b.statement(tree)
+	if err != nil {
+		return Statement{}, err
+	}
+	return s, nil
+}
+
+// explained returns the subject of an explain statement, which may be any
+// text.
+func explained(text string) (string, bool) {
+	fields := strings.Fields(text)
+	if !strings.EqualFold(fields[0], "explain") {
+		return "", false
+	}
+	_, subject, _ := strings.Cut(strings.TrimSpace(text), fields[0])
+	return strings.TrimSpace(subject), true
+}
+
+// AsFault returns the Fault in err's chain, or nil.
+func AsFault(err error) *Fault {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/statement/tables.go
@@ -0,0 +1,200 @@
+package statement
+
+import (
+	"slices"
+
+	"carawayshift.example/carawayshift"
+)
+
+// columnKind decides how a value in a filter is read and compared.
+type columnKind int
+
+const (
+	textColumn columnKind = iota
+	numberColumn
+	durationColumn
+	timeColumn
+	// dueColumn is a time that lies ahead: 06:00 is the next one.
+	dueColumn
+	flagColumn
+)
+
+type column struct {
+	name string
+	kind columnKind
+	// hidden columns can be filtered and are in JSON, but not in text.
+	hidden bool
+	// values lists the only values that a text column has.
+	values []string
+}
+
+type table struct {
+	name     string
+	singular string
+	// key is the column that "show job 41" selects by, since the time column
+	// that "since" compares; either may be empty.
+	key     string
+	since   string
+	columns []column
+}
+
+var jobStates = []string{
+	string(carawayshift.JobWaiting), string(carawayshift.JobPlaced), string(carawayshift.JobRunning),
+	string(carawayshift.JobStopping), string(carawayshift.JobFinished), string(carawayshift.JobCancelled),
+	string(carawayshift.JobHeld), string(carawayshift.JobParked),
+}
+
+var tables = []table{
+	{name: "jobs", singular: "job", key: "id", since: "submitted", columns: []column{
+		{name: "id", kind: numberColumn},
+		{name: "name"},
+		{name: "team"},
+		{name: "state", values: jobStates},
+		{name: "tasks", kind: numberColumn},
+		{name: "accelerators", kind: numberColumn},
+		{name: "urgent", kind: flagColumn},
+		{name: "due", kind: dueColumn},
+		{name: "run", kind: durationColumn},
+		{name: "zone"},
+		{name: "started", kind: timeColumn},
+		{name: "notes", kind: numberColumn},
+		{name: "reason"},
+		{name: "size", kind: numberColumn, hidden: true},
+		{name: "cores", kind: numberColumn, hidden: true},
+		{name: "memory", kind: numberColumn, hidden: true},
+		{name: "attempt", kind: numberColumn, hidden: true},
+		{name: "failures", kind: numberColumn, hidden: true},
+		{name: "borrowed", kind: flagColumn, hidden: true},
+		{name: "checkpoint", kind: durationColumn, hidden: true},
+		{name: "submitted", kind: timeColumn, hidden: true},
+		{name: "ended", kind: timeColumn, hidden: true},
+		{name: "by", hidden: true},
+	}},
+	{name: "teams", singular: "team", key: "name", columns: []column{
+		{name: "name"},
+		{name: "guarantee"},
+		{name: "accelerators", kind: numberColumn},
+		{name: "used", kind: numberColumn},
+		{name: "borrowed", kind: numberColumn},
+		{name: "waiting", kind: numberColumn},
+		{name: "limit", kind: numberColumn},
+		{name: "ratio", kind: numberColumn},
+		{name: "notes", kind: numberColumn},
+	}},
+	{name: "guarantees", singular: "guarantee", key: "team", columns: []column{
+		{name: "team"},
+		{name: "size", kind: numberColumn},
+		{name: "count", kind: numberColumn},
+		{name: "missing", kind: numberColumn},
+		{name: "state", values: []string{"met", "short"}},
+	}},
+	{name: "zones", singular: "zone", key: "name", since: "changed", columns: []column{
+		{name: "name"},
+		{name: "region"},
+		{name: "state", values: []string{"in", "out"}},
+		{name: "changed", kind: timeColumn},
+		{name: "by"},
+		{name: "because"},
+		{name: "workers", kind: numberColumn},
+		{name: "accelerators", kind: numberColumn},
+		{name: "free", kind: numberColumn},
+		{name: "jobs", kind: numberColumn},
+		{name: "notes", kind: numberColumn},
+	}},
+	{name: "workers", singular: "worker", key: "name", since: "seen", columns: []column{
+		{name: "name"},
+		{name: "zone"},
+		{name: "rack"},
+		{name: "state", values: []string{"ready", "leaving", "quarantined"}},
+		{name: "accelerators", kind: numberColumn},
+		{name: "free", kind: numberColumn},
+		{name: "cores", kind: numberColumn},
+		{name: "memory", kind: numberColumn},
+		{name: "tasks", kind: numberColumn},
+		{name: "seen", kind: timeColumn},
+		{name: "notes", kind: numberColumn},
+		{name: "address", hidden: true},
+	}},
+	{name: "runners", singular: "runner", key: "name", since: "seen", columns: []column{
+		{name: "name"},
+		{name: "zone"},
+		{name: "service"},
+		{name: "state", values: []string{"ready", "leaving"}},
+		{name: "slots", kind: numberColumn},
+		{name: "connections", kind: numberColumn},
+		{name: "seen", kind: timeColumn},
+		{name: "notes", kind: numberColumn},
+		{name: "address", hidden: true},
+	}},
+	{name: "hosts", singular: "host", key: "name", columns: []column{
+		{name: "name"},
+		{name: "version", kind: numberColumn},
+		{name: "state", values: []string{"current", "behind"}},
+		{name: "age", kind: durationColumn},
+		{name: "notes", kind: numberColumn},
+	}},
+	{name: "notes", singular: "note", key: "id", since: "at", columns: []column{
+		{name: "id", kind: numberColumn},
+		{name: "at", kind: timeColumn},
+		{name: "by"},
+		{name: "on"},
+		{name: "text"},
+	}},
+	{name: "quarantine", key: "worker", columns: []column{
+		{name: "worker"},
+		{name: "until", kind: dueColumn},
+		{name: "state", values: []string{"active", "ended"}},
+		{name: "notes", kind: numberColumn},
+	}},
+	{name: "config", key: "key", columns: []column{
+		{name: "key"},
+		{name: "value"},
+	}},
+	{name: "version", columns: []column{
+		{name: "version", kind: numberColumn},
+		{name: "index", kind: numberColumn},
+		{name: "leader"},
+		{name: "term", kind: numberColumn},
+	}},
+}
+
+// Columns returns the names of a table's columns in the order of its rows.
+// The first shown of them are printed as text.
+func Columns(name string) (names []string, shown int) {
+	t, ok := tableByName(name)
+	if !ok {
+		return nil, 0
+	}
+	for _, c := range t.columns {
+		names = append(names, c.name)
+		if !c.hidden {
+			shown++
+		}
+	}
+	return names, shown
+}
+
+func tableByName(name string) (table, bool) {
+	i := slices.IndexFunc(tables, func(t table) bool { return t.name == name || t.singular == name })
+	if i < 0 {
+		return table{}, false
+	}
+	return tables[i], true
+}
+
+func (t table) index(name string) int {
+	return slices.IndexFunc(t.columns, func(c column) bool { return c.name == name })
+}
+
+func tableNames() []string {
+	var names []string
+	for _, t := range tables {
+		names = append(names, t.name)
+	}
+	return names
+}
+
+func (t table) columnNames() []string {
+	names, _ := Columns(t.name)
+	return names
+}
--- /dev/null
+++ b/internal/statement/value.go
@@ -0,0 +1,97 @@
+package statement
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+const day = 24 * time.Hour
+
+// maxDuration bounds a duration in a statement. A job that declares more
+// than a year is a typing error.
+const maxDuration = 366 * day
+
+// parseDuration reads 90s, 30m, 2h, 1h30m and 2d.
+func parseDuration(s string) (time.Duration, bool) {
+	if n, ok := strings.CutSuffix(s, "d"); ok {
+		days, err := strconv.ParseUint(n, 10, 32)
+		return time.Duration(days) * day, err == nil && days <= uint64(maxDuration/day)
+	}
+	d, err := time.ParseDuration(s)
+	return d, err == nil && d >= 0 && d <= maxDuration
+}
+
+// parseMemory reads an amount of memory and returns MB: 64GB, 512MB, 512.
+func parseMemory(s string) (int, bool) {
+	units := []struct {
+		suffix string
+		factor int
+	}{{"TB", 1 << 20}, {"GB", 1 << 10}, {"MB", 1}, {"", 1}}
+	for _, u := range units {
+		n, ok := strings.CutSuffix(strings.ToUpper(s), u.suffix)
+		if !ok {
+			continue
+		}
+		amount, ok := parseCount(n)
+		return amount * u.factor, ok
+	}
+	return 0, false
+}
+
+// parseCount reads a number of up to 9 digits.
+func parseCount(s string) (int, bool) {
+	n, err := strconv.ParseUint(s, 10, 32)
+	return int(n), err == nil && n < 1e9
+}
+
+// parseCells reads 2x8 as two cells of eight accelerators.
+func parseCells(s string) (carawayshift.CellCount, bool) {
+	count, size, ok := strings.Cut(strings.ToLower(s), "x")
+	if !ok {
+		return carawayshift.CellCount{}, false
+	}
+	c, okCount := parseCount(count)
+	n, okSize := parseCount(size)
+	cell := carawayshift.CellCount{Count: c, Size: n}
+	return cell, okCount && okSize && c > 0 && n > 0 && n&(n-1) == 0
+}
+
+// parseMoment reads a date, a date with a time of day, today, yesterday,
+// tomorrow, or a time of day, which is the next one with ahead, and the last
+// one otherwise. All are in UTC.
+func parseMoment(s string, now time.Time, ahead bool) (time.Time, bool) {
+	today := now.Truncate(day)
+	switch strings.ToLower(s) {
+	case "today":
+		return today, true
+	case "yesterday":
+		return today.Add(-day), true
+	case "tomorrow":
+		return today.Add(day), true
+	}
+	for _, layout := range []string{"15:04", "15:04:05"} {
+		if t, err := time.Parse(layout, s); err == nil {
+			return nearest(today.Add(t.Sub(t.Truncate(day))), now, ahead), true
+		}
+	}
+	layouts := []string{"2006-01-02", "2006-01-02T15:04", "2006-01-02T15:04:05", "2006-01-02T15:04:05Z", "2006-01-02 15:04", "2006-01-02 15:04:05Z"}
+	for _, layout := range layouts {
+		if t, err := time.Parse(layout, s); err == nil {
+			return t, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func nearest(t, now time.Time, ahead bool) time.Time {
+	if ahead && !t.After(now) {
+		return t.Add(day)
+	}
+	if !ahead && t.After(now) {
+		return t.Add(-day)
+	}
+	return t
+}
