--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/report"
+	"carawayshift.example/carawayshift/internal/statement"
+)
+
+// Waiting for a new version to be in force: an answer names the hosts that
+// are missing after forceTime. Followers have a version within about 100 ms
+// in the same region, so that a healthy deployment answers well before.
+const (
+	forceTime = 2 * time.Second
+	forcePoll = 50 * time.Millisecond
+)
+
+// command proposes the command of a statement and reports its answer.
+func (h *Handler) command(ctx context.Context, q request, s statement.Statement) reply {
+	if q.ID == "" || q.Operator == "" {
+		return failure(malformed("a command needs an id and an operator", "send both; use a new id for each command"))
+	}
+	if s.Verb == "hold" && s.Object == "worker" {
+		return failure(carawayshift.NewError(carawayshift.Refused,
+			"workers can't be held: only the scheduler puts them in quarantine",
+			"stop the worker's process to take it out, or type: drain zone belmont"))
+	}
+	if s.Verb == "cancel" && s.Object == "jobs" {
+		return h.cancelMany(ctx, q, s)
+	}
+	a, err := h.propose(ctx, h.build(q, s))
+	if err != nil {
+		return failure(err)
+	}
+	return h.report(ctx, a)
+}
+
+func (h *Handler) propose(ctx context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
+	a, err := h.cfg.Log.Propose(ctx, c)
+	if err != nil && carawayshift.KindOf(err) == "" {
+		return a, carawayshift.NewError(carawayshift.OutcomeUnknown, err.Error(), "resend with the same id")
+	}
+	return a, err
+}
+
+// build returns the command of any statement but cancel jobs.
+func (h *Handler) build(q request, s statement.Statement) carawayshift.Command {
+	c := carawayshift.Command{ID: q.ID, By: q.Operator, At: time.Now().UTC(), Because: s.Because, IfVersion: s.IfVersion}
+	switch s.Verb {
+	case "note":
+		c.Kind = carawayshift.AddNote
+		c.Note = &carawayshift.Note{On: strings.TrimSpace(s.Object + " " + s.Name), Text: s.Text, By: q.Operator, At: c.At}
+	case "create":
+		h.buildCreate(&c, s)
+	case "set":
+		h.buildSet(&c, s)
+	case "drain":
+		c.Kind, c.Zone = carawayshift.DrainZone, s.Zone
+	case "return":
+		c.Kind, c.Zone = carawayshift.ReturnZone, s.Zone
+	default:
+		buildSwitch(&c, s)
+	}
+	return c
+}
+
+func (h *Handler) buildCreate(c *carawayshift.Command, s statement.Statement) {
+	switch s.Object {
+	case "zone":
+		c.Kind, c.Zone = carawayshift.CreateZone, s.Zone
+	case "team":
+		c.Kind, c.Team, c.Workers = carawayshift.CreateTeam, s.Team, h.packable()
+	default:
+		c.Kind, c.Job = carawayshift.CreateJob, s.Values
+	}
+}
+
+// buildSet lists the changed fields in Name, so that fields that the
+// statement does not name keep their value.
+func (h *Handler) buildSet(c *carawayshift.Command, s statement.Statement) {
+	switch s.Object {
+	case "config":
+		c.Kind, c.Name, c.Value = carawayshift.SetConfig, s.Name, s.Value
+	case "team":
+		c.Kind, c.Team, c.Workers = carawayshift.SetTeam, s.Team, h.packable()
+		c.Name = strings.Join(s.Changed, ",")
+	default:
+		c.Kind, c.Job = carawayshift.SetJob, s.Values
+		c.Name = strings.Join(s.Changed, ",")
+	}
+}
+
+// packable returns the workers without the reports of their tasks, which the
+// check of guarantees does not read, to keep the log entry small.
+func (h *Handler) packable() []carawayshift.Worker {
+	ws := slices.Clone(h.cfg.Workers())
+	for i := range ws {
+		ws[i].Tasks, ws[i].Address = nil, ""
+	}
+	return ws
+}
+
+func buildSwitch(c *carawayshift.Command, s statement.Statement) {
+	if s.Object == "worker" {
+		c.Kind, c.Name = carawayshift.ReleaseWorker, s.Name
+		return
+	}
+	kinds := map[string]carawayshift.CommandKind{
+		"cancel": carawayshift.CancelJob, "hold": carawayshift.HoldJob, "release": carawayshift.ReleaseJob,
+	}
+	c.Kind, c.Change = kinds[s.Verb], &carawayshift.JobChange{ID: s.Job}
+}
+
+// report turns the log's answer into a reply.
+func (h *Handler) report(ctx context.Context, a carawayshift.Answer) reply {
+	if err := a.Err(); err != nil {
+		r := failure(err)
+		r.Version, r.Winner, r.Repeated = a.Version, a.Winner, a.Repeated
+		r.Text += fmt.Sprintf("version now: %d\n", a.Version)
+		return r
+	}
+	r := reply{Version: a.Version, Job: a.Job, Repeated: a.Repeated}
+	r.Text = fmt.Sprintf("accepted at version %d", a.Version)
+	if a.Job != 0 {
+		r.Text += fmt.Sprintf(" as job %d", a.Job)
+	}
+	if a.Repeated {
+		r.Text += "; this is the first answer to a command sent again"
+	}
+	r.Text += "\n"
+	h.addInForce(ctx, &r)
+	return r
+}
+
+// addInForce waits until the version is in force on all hosts, up to
+// forceTime, and names the missing hosts.
+func (h *Handler) addInForce(ctx context.Context, r *reply) {
+	deadline := time.Now().Add(forceTime)
+	hosts, missing := h.missing(ctx, r.Version)
+	for len(missing) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		time.Sleep(forcePoll)
+		hosts, missing = h.missing(ctx, r.Version)
+	}
+	r.Hosts, r.InForce = hosts, hosts-len(missing)
+	r.Text += fmt.Sprintf("in force on %d of %d hosts\n", r.InForce, r.Hosts)
+	for _, m := range missing {
+		r.Missing = append(r.Missing, m.Name)
+		r.Text += fmt.Sprintf("missing: %s at version %d, last heard of %s\n", m.Name, m.Version, report.Cell(time.Now().Add(-m.Age)))
+	}
+}
+
+func (h *Handler) missing(ctx context.Context, version uint64) (all int, missing []HostVersion) {
+	hosts := h.cfg.Hosts(ctx)
+	for _, host := range hosts {
+		if host.Version < version {
+			missing = append(missing, host)
+		}
+	}
+	slices.SortFunc(missing, func(a, b HostVersion) int { return strings.Compare(a.Name, b.Name) })
+	return len(hosts), missing
+}
--- /dev/null
+++ b/internal/operator/effect.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/internal/statement"
+)
+
+// effect says what a statement would do to the present state.
+func (v *view) effect(s statement.Statement) string {
+	text := v.effectOf(s)
+	if s.IfVersion != 0 && s.IfVersion != v.Version {
+		text += fmt.Sprintf("It would be refused: the version now is %d, not %d.\n", v.Version, s.IfVersion)
+	}
+	if s.Command() {
+		text += "Nothing was changed.\n"
+	}
+	return text
+}
+
+func (v *view) effectOf(s statement.Statement) string {
+	switch s.Verb {
+	case "drain", "return":
+		return v.zoneEffect(s)
+	case "cancel", "hold", "release":
+		return v.jobsEffect(s)
+	case "create":
+		return v.createEffect(s)
+	case "set":
+		return v.setEffect(s)
+	case "note":
+		return "It would leave a note that show notes prints, and why and show when it is on an object.\n"
+	case "show":
+		return "It lists " + s.Object + ".\n"
+	case "why":
+		return "It names the rule that holds the job back, what would free it, and the next statement.\n"
+	}
+	return "It explains a statement or a word and changes nothing.\n"
+}
+
+func (v *view) zoneEffect(s statement.Statement) string {
+	z, ok := v.Zones[s.Name]
+	if !ok {
+		return refusal("zone " + s.Name + " does not exist")
+	}
+	out := s.Verb == "drain"
+	if z.Out == out {
+		return refusal("the zone is already in that state")
+	}
+	if !out {
+		return "It would put zone " + s.Name + " back: it is refilled with the largest waiting cells first.\n"
+	}
+	_, zones, _ := v.uses()
+	u := zones[s.Name]
+	return fmt.Sprintf("It would take zone %s out: nothing starts there from 3 s on, and %d jobs on %d accelerators are checkpointed and moved, least lost work first.\n",
+		s.Name, u.jobs, u.accelerators)
+}
+
+func (v *view) jobsEffect(s statement.Statement) string {
+	if s.Object == "worker" {
+		if _, ok := v.Quarantine[s.Name]; !ok || s.Verb != "release" {
+			return refusal("worker " + s.Name + " is not in quarantine, and workers can't be held")
+		}
+		return "It would end the quarantine of worker " + s.Name + ".\n"
+	}
+	if s.Object == "jobs" {
+		ids := v.cancellable(s)
+		return fmt.Sprintf("It would cancel %d jobs%s.\n", len(ids), list(ids))
+	}
+	j, ok := v.Jobs[s.Job]
+	if !ok || j.State.Ended() {
+		return refusal(fmt.Sprintf("job %d does not exist or has ended", s.Job))
+	}
+	if s.Verb == "release" {
+		return releaseEffect(j)
+	}
+	if !j.Active() {
+		return fmt.Sprintf("It would %s job %d at once; it is %s.\n", s.Verb, j.ID, j.State)
+	}
+	return fmt.Sprintf("It would stop job %d on %d accelerators in zone %s; run time beyond the checkpoint of %s is lost.\n",
+		j.ID, j.Size(), j.Zone, j.Checkpoint)
+}
+
+func releaseEffect(j carawayshift.Job) string {
+	if j.State == carawayshift.JobHeld || j.State == carawayshift.JobParked {
+		return fmt.Sprintf("It would let job %d wait for its turn again, with its failures forgotten.\n", j.ID)
+	}
+	return refusal(fmt.Sprintf("job %d is %s", j.ID, j.State))
+}
+
+func (v *view) createEffect(s statement.Statement) string {
+	switch s.Object {
+	case "zone":
+		if _, ok := v.Zones[s.Name]; ok {
+			return refusal("zone " + s.Name + " exists already")
+		}
+		return "It would add zone " + s.Name + " in region " + s.Zone.Region + ", in service.\n"
+	case "team":
+		if _, ok := v.Teams[s.Name]; ok {
+			return refusal("team " + s.Name + " exists already")
+		}
+		return v.guaranteeEffect("add team "+s.Name, *s.Team)
+	}
+	if _, ok := v.Teams[s.Values.Team]; !ok {
+		return refusal("team " + s.Values.Team + " does not exist")
+	}
+	return fmt.Sprintf("It would add a waiting job that needs %d accelerators: %d tasks with %d each, all in one zone.\n",
+		s.Values.Size(), s.Values.Tasks, s.Values.Accelerators)
+}
+
+func (v *view) setEffect(s statement.Statement) string {
+	switch s.Object {
+	case "config":
+		return fmt.Sprintf("It would change %s from %q to %q.\n", s.Name, v.Config[s.Name], s.Value)
+	case "team":
+		t, ok := v.Teams[s.Name]
+		if !ok {
+			return refusal("team " + s.Name + " does not exist")
+		}
+		if s.Changed[0] == "guarantee" || len(s.Changed) > 1 {
+			t.Guarantee = s.Team.Guarantee
+		}
+		return v.guaranteeEffect("change team "+s.Name, t)
+	}
+	j, ok := v.Jobs[s.Job]
+	if !ok || j.State.Ended() {
+		return refusal(fmt.Sprintf("job %d does not exist or has ended", s.Job))
+	}
+	return fmt.Sprintf("It would change job %d, which is %s.\n", s.Job, j.State)
+}
+
+// guaranteeEffect checks the guarantees as the log would.
+func (v *view) guaranteeEffect(what string, t carawayshift.Team) string {
+	if err := v.checkTeam(t); err != nil {
+		return refusal(err.Error())
+	}
+	return fmt.Sprintf("It would %s with %d guaranteed accelerators.\n", what, t.Accelerators())
+}
+
+func refusal(why string) string { return "It would be refused: " + why + ".\n" }
+
+func (v *view) checkTeam(t carawayshift.Team) error {
+	s := v.State
+	s.Teams = maps.Clone(v.Teams)
+	s.Teams[t.Name] = t
+	return v.handler.cfg.Planner.CheckGuarantees(state.View(v.now, s, v.handler.cfg.Workers()))
+}
--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"carawayshift.example/carawayshift/internal/statement"
+)
+
+// meanings explains the words that why, show and refusals use.
+var meanings = map[string]string{
+	"attempt":     "one placement of a job. Reports of an older attempt change nothing.",
+	"borrowed":    "work on accelerators beyond its team's guarantee. It is stopped when the owner of a guarantee needs them.",
+	"cell":        "an aligned block of 1, 2, 4 or 8 accelerators of a worker, or of 1, 2, 4 or 8 workers of a rack.",
+	"completion":  "the objective that favours short completion times. type: set config objective = completion",
+	"drain":       "takes a zone out: nothing starts there from 3 s on, running work is checkpointed and moved.",
+	"gang":        "all tasks of a job run at the same time, or none does.",
+	"guarantee":   "cells that a team can always get back, even while others use them. type: show guarantees",
+	"held":        "an operator keeps the job from running until it is released.",
+	"packing":     "the objective that favours large adjacent cells. type: set config objective = packing",
+	"parked":      "the job failed too often or can never run. It waits for an operator to change, release or cancel it.",
+	"placed":      "the job has workers, and no task has started.",
+	"quarantine":  "a worker that failed what others run gets no work until the time shown. type: show quarantine",
+	"reclaim":     "borrowed work is checkpointed and stopped to give a guarantee back, least lost work first.",
+	"shortfall":   "a guarantee that the present workers can't hold. It is met again when hardware returns.",
+	"stopping":    "the tasks were told to stop and may still run. The job changes state when all have stopped.",
+	"urgent":      "urgent jobs of a team come before its other jobs.",
+	"version":     "the number of accepted operator commands. if version N accepts a command at that version alone.",
+	"waiting":     "the job waits for accelerators. type why job and its number for the rule that holds it back.",
+	"zone is out": "an operator took the zone out. type: show zones",
+}
+
+// explain says what a statement would do, or what a rule or a word means.
+func (v *view) explain(subject string) reply {
+	words := strings.Fields(strings.ToLower(strings.Trim(subject, `"`)))
+	name := strings.Join(words, " ")
+	if meaning, ok := meanings[name]; ok {
+		return reply{Text: name + ": " + meaning + "\n" + v.heldBy(name)}
+	}
+	if jobs := v.heldBy(name); jobs != "" {
+		return reply{Text: "rule: " + name + "\n" + jobs}
+	}
+	s, err := statement.Parse(subject, v.now)
+	if err == nil {
+		return reply{Text: v.effect(s)}
+	}
+	if len(words) < 2 {
+		return v.unknownWord(name)
+	}
+	a := failure(err)
+	a.Text = faultText(subject, err)
+	return a
+}
+
+// unknownWord lists the words that can be explained.
+func (v *view) unknownWord(name string) reply {
+	known := make([]string, 0, len(meanings))
+	for word := range meanings {
+		known = append(known, word)
+	}
+	slices.Sort(known)
+	remedy := "these can be explained: " + strings.Join(known, ", ") + ", and any statement"
+	if near := statement.Near(name, known); near != "" {
+		remedy = "did you mean " + near + "? " + remedy
+	}
+	return failure(malformed("no rule or statement is called "+name, remedy))
+}
+
+// heldBy lists the jobs that the planner holds back by a rule of this name.
+func (v *view) heldBy(rule string) string {
+	var ids []uint64
+	frees := ""
+	for id, w := range v.plan().Waits {
+		if strings.EqualFold(w.Rule, rule) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	slices.Sort(ids)
+	frees = v.plan().Waits[ids[0]].Frees
+	return fmt.Sprintf("it holds back %d jobs now%s\nfreed by: %s\n", len(ids), list(ids), frees)
+}
--- /dev/null
+++ b/internal/operator/why.go
@@ -0,0 +1,99 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/report"
+)
+
+// why says what holds a job back or where it runs.
+func (v *view) why(id uint64) reply {
+	j, ok := v.Jobs[id]
+	if !ok {
+		return failure(carawayshift.NewError(carawayshift.NotFound,
+			fmt.Sprintf("job %d does not exist or ended long ago", id), "type: show jobs"))
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %d %s of team %s is %s.\n", j.ID, j.Name, j.Team, j.State)
+	switch j.State {
+	case carawayshift.JobWaiting:
+		v.whyWaiting(&b, j)
+	case carawayshift.JobPlaced, carawayshift.JobRunning, carawayshift.JobStopping:
+		whyActive(&b, j)
+	default:
+		whyAtRest(&b, j)
+	}
+	b.WriteString(v.notesOn(fmt.Sprintf("job %d", j.ID), "team "+j.Team, "zone "+j.Zone))
+	return reply{Text: b.String(), Job: j.ID}
+}
+
+// whyWaiting runs the planner on the present view.
+func (v *view) whyWaiting(b *strings.Builder, j carawayshift.Job) {
+	if j.Reason != "" {
+		fmt.Fprintf(b, "last: %s\n", report.Cell(j.Reason))
+	}
+	p := v.plan()
+	if i := slices.IndexFunc(p.Starts, func(s carawayshift.Start) bool { return s.Job == j.ID }); i >= 0 {
+		fmt.Fprintf(b, "rule: none; it starts now in zone %s: %s\n", p.Starts[i].Zone, report.Cell(p.Starts[i].Reason))
+		return
+	}
+	if i := slices.IndexFunc(p.Parks, func(k carawayshift.Park) bool { return k.Job == j.ID }); i >= 0 {
+		fmt.Fprintf(b, "rule: it can never run as declared: %s\nnext: cancel job %d\n", report.Cell(p.Parks[i].Reason), j.ID)
+		return
+	}
+	w, ok := p.Waits[j.ID]
+	if !ok {
+		fmt.Fprintf(b, "rule: not yet planned\nnext: why job %d\n", j.ID)
+		return
+	}
+	printWait(b, w)
+}
+
+func printWait(b *strings.Builder, w carawayshift.Wait) {
+	expected := "unknown"
+	if !w.Expected.IsZero() {
+		expected = report.Cell(w.Expected)
+	}
+	fmt.Fprintf(b, "rule: %s\nfreed by: %s\nexpected start: %s\nnext: %s\n", report.Cell(w.Rule), report.Cell(w.Frees), expected, report.Cell(w.Next))
+}
+
+func whyActive(b *strings.Builder, j carawayshift.Job) {
+	fmt.Fprintf(b, "where: zone %s, workers %s, attempt %d\n", j.Zone, strings.Join(workerNames(j), ", "), j.Attempt)
+	if !j.Started.IsZero() {
+		fmt.Fprintf(b, "since: %s\n", report.Cell(j.Started))
+	}
+	if j.Borrowed {
+		b.WriteString("borrowed: its accelerators are beyond the team's guarantee and can be reclaimed\n")
+	}
+	if j.State == carawayshift.JobStopping {
+		fmt.Fprintf(b, "then: %s\n", j.StopTo)
+	}
+	if j.Reason != "" {
+		fmt.Fprintf(b, "reason: %s\n", report.Cell(j.Reason))
+	}
+}
+
+func workerNames(j carawayshift.Job) []string {
+	var names []string
+	for _, p := range j.Placements {
+		if !slices.Contains(names, p.Worker) {
+			names = append(names, p.Worker)
+		}
+	}
+	return names
+}
+
+func whyAtRest(b *strings.Builder, j carawayshift.Job) {
+	fmt.Fprintf(b, "reason: %s\n", report.Cell(j.Reason))
+	if len(j.FailedOn) > 0 {
+		fmt.Fprintf(b, "failed on: %s\n", strings.Join(j.FailedOn, ", "))
+	}
+	if j.State.Ended() {
+		fmt.Fprintf(b, "since: %s\n", report.Cell(j.Ended))
+		return
+	}
+	fmt.Fprintf(b, "next: release job %d\n", j.ID)
+}
--- a/internal/statement/fault.go
+++ b/internal/statement/fault.go
@@ -331,3 +331,6 @@
 	}
 	return []string{"because", "if", "the end"}
 }
+
+// Near returns the candidate that is most like the word, or "" when none is.
+func Near(word string, candidates []string) string { return near(word, candidates) }
