--- a/pkg/replica/fake_test.go
+++ b/pkg/replica/fake_test.go
@@ -88,16 +88,18 @@
 	}
 }
 
-func (n *network) freeze(host string) (thaw func()) {
-	ch := make(chan struct{})
+func (n *network) freeze(host string) {
 	n.mu.Lock()
-	n.frozen[host] = ch
-	n.mu.Unlock()
-	return func() {
-		n.mu.Lock()
-		delete(n.frozen, host)
-		n.mu.Unlock()
+	defer n.mu.Unlock()
+	n.frozen[host] = make(chan struct{})
+}
+
+func (n *network) thaw(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ch := n.frozen[host]; ch != nil {
 		close(ch)
+		delete(n.frozen, host)
 	}
 }
 
@@ -163,10 +165,12 @@
 	Version uint64                         `cbor:"1,keyasint"`
 	Values  map[string]string              `cbor:"2,keyasint"`
 	Answers map[string]carawayshift.Answer `cbor:"3,keyasint"`
+	// Count is how often each command id came out of the log.
+	Count map[string]int `cbor:"4,keyasint"`
 }
 
 func newRegisters() *registers {
-	return &registers{state: registerState{Values: map[string]string{}, Answers: map[string]carawayshift.Answer{}}}
+	return &registers{state: registerState{Values: map[string]string{}, Answers: map[string]carawayshift.Answer{}, Count: map[string]int{}}}
 }
 
 // Apply takes a command of kind "set config": Name is the key, Because the
@@ -178,6 +182,7 @@
 	if err := carawayshift.Decode(entry, &c); err != nil {
 		panic(err)
 	}
+	m.state.Count[c.ID]++
 	a, ok := m.state.Answers[c.ID]
 	if !ok {
 		a = m.change(index, c)
--- a/pkg/replica/follower.go
+++ b/pkg/replica/follower.go
@@ -47,7 +47,11 @@
 	if req.Refused {
 		return appendReply{}, r.markRefused()
 	}
-	if term, known := r.journal.Term(req.Prev); !known || term != req.PrevTerm {
+	term, known := r.journal.Term(req.Prev)
+	if !known && r.committed(req.Prev) {
+		return r.covered(), nil
+	}
+	if !known || term != req.PrevTerm {
 		return r.mismatch(req), nil
 	}
 	entries := r.newEntries(fromWire(req.Prev, req.Entries))
@@ -123,6 +127,20 @@
 	return appendReply{Index: max(index, r.commit), Last: last}
 }
 
+func (r *Replica) committed(index uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return index <= r.commit
+}
+
+// covered answers a leader that missed the reply to its snapshot and sends
+// entries from before it: all that is committed here matches.
+func (r *Replica) covered() appendReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return appendReply{OK: true, Index: r.commit}
+}
+
 // newEntries drops the entries that the log has already, so that a late or
 // repeated message never shortens the log.
 func (r *Replica) newEntries(entries []journal.Entry) []journal.Entry {
--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,11 +17,13 @@
 
 // group is a set of hosts in one process and one synctest bubble.
 type group struct {
-	t     testing.TB
-	ctx   context.Context
-	rng   *rand.Rand
-	net   *network
-	cfg   Config
+	t   testing.TB
+	ctx context.Context
+	rng *rand.Rand
+	net *network
+	cfg Config
+
+	mu    sync.Mutex // clients run beside the faults
 	nodes map[string]*node
 	names []string
 }
@@ -39,8 +43,8 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, seed, size, cfg)
+		defer g.close()
 		fn(g)
-		g.close()
 	})
 }
 
@@ -50,6 +54,7 @@
 	for i := range size {
 		g.names = append(g.names, fmt.Sprintf("h%d", i+1))
 	}
+	g.cfg.Voters = slices.Clone(g.names)
 	for _, name := range g.names {
 		g.start(name)
 	}
@@ -62,35 +67,40 @@
 	if n == nil {
 		n = &node{name: name, disk: memdisk.New()}
 		n.disk.SyncTime = time.Millisecond
-		g.nodes[name] = n
 	}
 	j, err := journal.OpenFS(n.disk.Mount(), "/data")
 	if err != nil {
 		g.t.Fatalf("open the journal of %s: %v", name, err)
 	}
 	cfg := g.cfg
-	cfg.Host, cfg.Voters = name, g.names
+	cfg.Host = name
 	if cfg.Logger == nil {
 		cfg.Logger = quiet()
 	}
-	n.j, n.machine = j, newRegisters()
-	e := g.net.endpoint(name)
-	n.r, err = New(cfg, j, n.machine, e)
+	m, e := newRegisters(), g.net.endpoint(name)
+	r, err := New(cfg, j, m, e)
 	if err != nil {
 		g.t.Fatalf("start %s: %v", name, err)
 	}
+	r.woke = func() { g.net.gate(name) }
 	g.net.listen(name, e)
-	n.r.woke = func() { g.net.gate(name) }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = n.r.Run(ctx)
+		_ = r.Run(ctx)
 	}()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n.r, n.machine, n.j = r, m, j
 	n.stop = func() {
 		cancel()
 		<-ended
 	}
+	g.nodes[name] = n
+	if !slices.Contains(g.names, name) {
+		g.names = append(g.names, name)
+	}
 	return n
 }
 
@@ -103,9 +113,26 @@
 	g.net.listen(name, nil)
 	n.disk.Crash(g.rng)
 	n.stop()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	n.r = nil
 }
 
+// get returns the running process of a host, or nil.
+func (g *group) get(name string) (*Replica, *registers) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.nodes[name]
+	return n.r, n.machine
+}
+
+// pick returns a random host.
+func (g *group) pick(rng *rand.Rand) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.names[rng.IntN(len(g.names))]
+}
+
 // lose kills the host and empties its disk.
 func (g *group) lose(name string) {
 	g.kill(name)
@@ -113,6 +140,9 @@
 }
 
 func (g *group) close() {
+	for host := range g.nodes {
+		g.net.thaw(host)
+	}
 	for _, n := range g.nodes {
 		if n.r != nil {
 			n.stop()
--- a/pkg/replica/propose.go
+++ b/pkg/replica/propose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 	// 2,300 workers, about 250 KB.
 	maxCommandBytes = 4 << 20
 	maxQueued       = 4096
+	// maxNonces is how many forwarded commands are remembered. At 100
+	// commands a second it covers 40 s, longer than a message is under way.
+	maxNonces = 4096
 	// Limits of one batch, which is one record and one sync.
 	maxBatchEntries = 1024
 	maxBatchBytes   = 4 << 20
@@ -64,7 +68,7 @@
 			b, err = r.submit(ctx, newProposal(ctx, KindCommand, data))
 			return err
 		}
-		b, err = r.forward(ctx, leader, methodPropose, proposeRequest{LeftMs: left(ctx), Data: data})
+		b, err = r.forward(ctx, leader, methodPropose, proposeRequest{LeftMs: left(ctx), Data: data, Nonce: rand.Uint64()})
 		return err
 	})
 	if err != nil {
@@ -128,7 +132,42 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.LeftMs)*time.Millisecond)
 	defer cancel()
-	return r.submit(ctx, newProposal(ctx, KindCommand, req.Data))
+	p, first := r.firstOf(req.Nonce, newProposal(ctx, KindCommand, req.Data))
+	if !first {
+		return p.wait(ctx)
+	}
+	b, err := r.submit(ctx, p)
+	p.finish(b, err)
+	r.mu.Lock()
+	p.data = nil // it is in the log or nowhere; only the result is kept
+	r.mu.Unlock()
+	return b, err
+}
+
+// firstOf returns the proposal of the first message with this nonce. The
+// oldest nonces are forgotten.
+func (r *Replica) firstOf(nonce uint64, p *proposal) (*proposal, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.forwarded[nonce]; old != nil {
+		return old, false
+	}
+	if len(r.nonces) == maxNonces {
+		delete(r.forwarded, r.nonces[0])
+		r.nonces = r.nonces[1:]
+	}
+	r.nonces = append(r.nonces, nonce)
+	r.forwarded[nonce] = p
+	return p, true
+}
+
+func (p *proposal) wait(ctx context.Context) ([]byte, error) {
+	select {
+	case <-p.ended:
+		return p.result, p.err
+	case <-ctx.Done():
+		return nil, unknown("the time was up before the command was committed")
+	}
 }
 
 // submit puts an entry into the log of this leader and waits for its result.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -136,7 +136,9 @@
 	restore   *journal.Snapshot // snapshot to hand to the state machine
 	waiters   map[uint64]*proposal
 	queue     []*proposal
-	changed   chan struct{} // closed at the next change of the above
+	forwarded map[uint64]*proposal // by nonce
+	nonces    []uint64             // oldest first
+	changed   chan struct{}        // closed at the next change of the above
 }
 
 var _ carawayshift.Log = (*Replica)(nil)
@@ -147,13 +149,14 @@
 	cfg = cfg.withDefaults()
 	r := &Replica{
 		cfg: cfg, journal: j, machine: m, transport: t,
-		log:     cfg.Logger.WithField("host", cfg.Host),
-		done:    make(chan struct{}),
-		disk:    make(chan struct{}, 1),
-		hard:    j.Hard(),
-		acked:   map[string]uint64{},
-		waiters: map[uint64]*proposal{},
-		changed: make(chan struct{}),
+		log:       cfg.Logger.WithField("host", cfg.Host),
+		done:      make(chan struct{}),
+		disk:      make(chan struct{}, 1),
+		hard:      j.Hard(),
+		acked:     map[string]uint64{},
+		waiters:   map[uint64]*proposal{},
+		forwarded: map[uint64]*proposal{},
+		changed:   make(chan struct{}),
 	}
 	if err := r.recover(); err != nil {
 		return nil, errors.Wrap(err, "replica.New")
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -59,7 +59,7 @@
 	for _, entries := range []uint64{100000, 300} {
 		t.Run(fmt.Sprint("snapshot every ", entries), func(t *testing.T) {
 			inBubble(t, 3, 1, Config{SnapshotEntries: entries, KeepEntries: 50}, func(g *group) {
-				w := NewWithT(t)
+				w := NewWithT(g.t)
 				n := g.waitLeader()
 				for i := range 1000 {
 					_, err := g.set(n, fmt.Sprint("c", i), fmt.Sprint("k", i%40), fmt.Sprint(i))
@@ -83,11 +83,11 @@
 // read, or acknowledges a command, from before the others' new term.
 func TestFrozenLeader(t *testing.T) {
 	inBubble(t, 4, 3, Config{}, func(g *group) {
-		w := NewWithT(t)
+		w := NewWithT(g.t)
 		old := g.waitLeader()
 		_, err := g.set(old, "a", "k", "old")
 		w.Expect(err).NotTo(HaveOccurred())
-		thaw := g.net.freeze(old.name)
+		g.net.freeze(old.name)
 		time.Sleep(5 * time.Second)
 		w.Expect(old.r.Status().Ready).To(BeTrue(), "the frozen leader must not know yet")
 		other := g.nodes[g.names[0]]
@@ -97,7 +97,7 @@
 		_, err = g.set(other, "b", "k", "new")
 		w.Expect(err).NotTo(HaveOccurred())
 		time.Sleep(55 * time.Second)
-		thaw()
+		g.net.thaw(old.name)
 		value, _, err := g.read(old, "k")
 		w.Expect(err).NotTo(HaveOccurred())
 		w.Expect(value).To(Equal("new"))
@@ -110,7 +110,7 @@
 	for _, lose := range []bool{true, false} {
 		t.Run(fmt.Sprint("lost disk ", lose), func(t *testing.T) {
 			inBubble(t, 5, 3, Config{}, func(g *group) {
-				w := NewWithT(t)
+				w := NewWithT(g.t)
 				leader := g.waitLeader()
 				victim, other := g.others(leader)
 				backup := victim.disk.Copy()
--- a/pkg/replica/wire.go
+++ b/pkg/replica/wire.go
@@ -99,9 +99,13 @@
 
 // proposeRequest carries the time that the caller has left, because the hosts'
 // clocks differ.
+//
+// Nonce is new for each call: the leader recognises a message that the network
+// repeats, also one that it refused the first time.
 type proposeRequest struct {
 	LeftMs int64  `cbor:"1,keyasint"`
 	Data   []byte `cbor:"2,keyasint"`
+	Nonce  uint64 `cbor:"3,keyasint"`
 }
 
 type barrierReply struct {
