--- /dev/null
+++ b/internal/caller/measure_test.go
@@ -0,0 +1,212 @@
+package caller_test
+
+import (
+	"bytes"
+	"container/heap"
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift/internal/load"
+	standin "carawayshift.example/carawayshift/internal/standin/runner"
+	"carawayshift.example/carawayshift/pkg/balance"
+)
+
+var (
+	measureSeconds = flag.Int("measure.seconds", 3, "simulated seconds of each measurement")
+	measureSeed    = flag.Uint64("measure.seed", 1, "seed of the measurements' traces")
+)
+
+// trial is one measurement: a zone, its runners and a load.
+type trial struct {
+	policy  balance.Policy
+	runners int
+	load    load.Config
+	// during runs beside the load.
+	during func(w *world)
+	// warmup is the time of a lighter load before the measured one.
+	warmup time.Duration
+	zones  []string
+	seed   uint64
+}
+
+type counters struct{ sends, retries, forwards uint64 }
+
+// run measures one trial in paused time.
+func (tr trial) run(t *testing.T) (out load.Result, trace []load.Shot, n counters) {
+	synctest.Test(t, func(t *testing.T) {
+		zones := tr.zones
+		if zones == nil {
+			zones = []string{"a1"}
+		}
+		w := newWorld(t, 3, zones...)
+		defer w.close()
+		var sets []*metrics.Set
+		w.tweak = func(o *options) {
+			o.balance.Policy = tr.policy
+			o.caller.Metrics = metrics.NewSet()
+			sets = append(sets, o.caller.Metrics)
+		}
+		w.startHosts()
+		for _, z := range zones {
+			for i := range tr.runners {
+				w.startRunner(z, fmt.Sprintf("%s-r%d", z, i))
+			}
+		}
+		time.Sleep(1500 * time.Millisecond)
+		out, trace = tr.measure(t, w)
+		for _, s := range sets {
+			n.sends += s.GetOrCreateCounter("carawayshift_caller_sends_total").Get() + s.GetOrCreateCounter("carawayshift_caller_forwards_total").Get()
+			n.retries += s.GetOrCreateCounter("carawayshift_caller_retries_total").Get()
+			n.forwards += s.GetOrCreateCounter("carawayshift_caller_forwards_total").Get()
+		}
+		time.Sleep(time.Minute)
+	})
+	return out, trace, n
+}
+
+func (tr trial) measure(t *testing.T, w *world) (load.Result, []load.Shot) {
+	c := tr.load
+	c.Service, c.Dial, c.Seed = "fit", w.net.dial, *measureSeed+tr.seed
+	for _, a := range w.addresses("a1") {
+		c.Hosts = append(c.Hosts, "http://"+a)
+	}
+	if tr.warmup > 0 {
+		before := c
+		before.Duration, before.Seed = tr.warmup, c.Seed+1000
+		generate(t, w, before)
+	}
+	if tr.during != nil {
+		w.wg.Go(func() { tr.during(w) })
+	}
+	return generate(t, w, c)
+}
+
+func generate(t *testing.T, w *world, c load.Config) (load.Result, []load.Shot) {
+	var buf bytes.Buffer
+	c.Output = &buf
+	g, err := load.New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Run(w.ctx); err != nil {
+		t.Fatal(err)
+	}
+	t.Log(buf.String())
+	return g.Result(), g.Trace()
+}
+
+// times is a heap of the times at which servers become free.
+type times []time.Duration
+
+func (h times) Len() int           { return len(h) }
+func (h times) Less(i, j int) bool { return h[i] < h[j] }
+func (h times) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *times) Push(x any)        { *h = append(*h, x.(time.Duration)) }
+func (h *times) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// ideal returns the 99th percentile of one central queue in front of all slots
+// that learns of a free slot at once.
+func ideal(trace []load.Shot, slots int) time.Duration {
+	free := make(times, slots)
+	var took []time.Duration
+	for _, s := range trace {
+		end := max(s.At, free[0]) + s.Work
+		took = append(took, end-s.At)
+		free[0] = end
+		heap.Fix(&free, 0)
+	}
+	slices.Sort(took)
+	return took[len(took)*99/100]
+}
+
+func seconds() time.Duration { return time.Duration(*measureSeconds) * time.Second }
+
+// Target (a): 3 hosts, 50 runners with 8 slots, 85% load, heavy-tailed service
+// times; p99 is at most 1.5 times that of one ideal central queue.
+func TestMeasureTail(t *testing.T) {
+	g := NewWithT(t)
+	c := load.Config{Rate: 0.85 * 50 * 8 / 0.1, Duration: seconds(), Work: 100 * time.Millisecond, Shape: 1.8, Deadline: time.Minute, InFlight: 100_000}
+	p99 := map[balance.Policy]float64{}
+	var best float64
+	for _, p := range []balance.Policy{balance.TwoChoices, balance.Random, balance.RoundRobin} {
+		r, trace, _ := trial{policy: p, runners: 50, load: c}.run(t)
+		best = float64(ideal(trace, 400)) / float64(time.Millisecond)
+		p99[p] = r.Latency.P99
+		g.Expect(r.Wrong + r.Errors).To(BeZero())
+	}
+	t.Logf("p99 in ms: ideal %.0f, two choices %.0f, random %.0f, round robin %.0f", best, p99[balance.TwoChoices], p99[balance.Random], p99[balance.RoundRobin])
+	g.Expect(p99[balance.TwoChoices]).To(BeNumerically("<=", 1.5*best))
+}
+
+// Target (b): 3 fast-failing runners and 2 ten times slower; at least 99.9% of
+// idempotent requests are answered within their deadline.
+func TestMeasureBadRunners(t *testing.T) {
+	g := NewWithT(t)
+	c := load.Config{Rate: 0.6 * 20 * 8 / 0.05, Duration: seconds(), Work: 50 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: 1}
+	spoil := func(w *world) {
+		for i := range 3 {
+			w.runners[i].SetFaults(standin.Fault{Kind: standin.FailFast})
+		}
+		for i := 3; i < 5; i++ {
+			w.runners[i].SetFaults(standin.Fault{Kind: standin.Slow})
+		}
+	}
+	part := map[balance.Policy]float64{}
+	for _, p := range []balance.Policy{balance.TwoChoices, balance.Random, balance.RoundRobin} {
+		r, _, _ := trial{policy: p, runners: 20, load: c, during: spoil, warmup: 2 * time.Second}.run(t)
+		part[p] = float64(r.Answered) / float64(r.Sent)
+		g.Expect(r.Wrong).To(BeZero())
+	}
+	t.Logf("answered in time: two choices %.5f, random %.5f, round robin %.5f", part[balance.TwoChoices], part[balance.Random], part[balance.RoundRobin])
+	g.Expect(part[balance.TwoChoices]).To(BeNumerically(">=", 0.999))
+}
+
+// Target (c): twice the capacity; goodput is at least 90% of the capacity,
+// urgent p99 is within the deadline, refusals arrive by half of the deadline.
+func TestMeasureOverload(t *testing.T) {
+	g := NewWithT(t)
+	const capacity = 10 * 8 / 0.05
+	c := load.Config{Rate: 2 * capacity, Duration: seconds(), Work: 50 * time.Millisecond, Deadline: time.Second, Urgent: 0.3}
+	good := map[balance.Policy]float64{}
+	for _, p := range []balance.Policy{balance.TwoChoices, balance.Random, balance.RoundRobin} {
+		r, _, _ := trial{policy: p, runners: 10, load: c, warmup: time.Second}.run(t)
+		good[p] = r.Goodput / capacity
+		if p == balance.TwoChoices {
+			t.Logf("urgent p99 %.0f ms of 1000, refusals p99 %.0f ms, max %.0f ms", r.Urgent.P99, r.Refusals.P99, r.Refusals.Max)
+			g.Expect(r.Urgent.P99).To(BeNumerically("<=", 1000))
+			g.Expect(r.Refusals.Max).To(BeNumerically("<=", 510))
+			g.Expect(r.Refused["outcome unknown"]).To(BeNumerically("<", r.Sent/100))
+		}
+	}
+	t.Logf("goodput over capacity: two choices %.3f, random %.3f, round robin %.3f", good[balance.TwoChoices], good[balance.Random], good[balance.RoundRobin])
+	g.Expect(good[balance.TwoChoices]).To(BeNumerically(">=", 0.9))
+}
+
+// Target (d): retries add at most 10% of sends, also when every runner of a
+// zone dies at once.
+func TestMeasureZoneDeath(t *testing.T) {
+	g := NewWithT(t)
+	c := load.Config{Rate: 0.4 * 10 * 8 / 0.05, Duration: seconds(), Work: 50 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: 0.5}
+	kill := func(w *world) {
+		time.Sleep(seconds() / 3)
+		for _, r := range w.runners[:10] {
+			r.Kill()
+			w.net.cut(r.Name() + ":80")
+		}
+	}
+	r, _, n := trial{runners: 10, load: c, during: kill, warmup: time.Second, zones: []string{"a1", "a2"}}.run(t)
+	t.Logf("sends %d, retries %d (%.4f), forwards %d, answered %.4f", n.sends, n.retries, float64(n.retries)/float64(n.sends), n.forwards, float64(r.Answered)/float64(r.Sent))
+	g.Expect(float64(n.retries)).To(BeNumerically("<=", 0.1*float64(n.sends)))
+	g.Expect(float64(r.Answered)/float64(r.Sent)).To(BeNumerically(">=", 0.9))
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -84,7 +84,9 @@
 	// Refused counts refusals by kind; Errors counts transport errors.
 	Refused map[string]int `json:"refused"`
 	Errors  int            `json:"errors"`
-	// Goodput is answered requests per second.
+	// Goodput is the number of requests per second that were answered within
+	// their deadline and before the load ended. Answers after that come from a
+	// queue that drains and would count a capacity that the load did not have.
 	Goodput  float64   `json:"goodput"`
 	Latency  Quantiles `json:"latency"`
 	Urgent   Quantiles `json:"urgent"`
@@ -101,6 +103,8 @@
 	latency  *hdrhistogram.Histogram
 	urgent   *hdrhistogram.Histogram
 	refusals *hdrhistogram.Histogram
+	// inside counts answers before the load ended.
+	inside int
 }
 
 // New checks the configuration.
@@ -185,7 +189,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := g.result
-	r.Goodput = float64(r.Answered) / g.cfg.Duration.Seconds()
+	r.Goodput = float64(g.inside) / g.cfg.Duration.Seconds()
 	r.Latency = quantiles(g.latency)
 	r.Urgent = quantiles(g.urgent)
 	r.Refusals = quantiles(g.refusals)
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -130,6 +130,9 @@
 		g.result.Late++
 	default:
 		g.result.Answered++
+		if s.At+d <= g.cfg.Duration {
+			g.inside++
+		}
 	}
 	add(g.latency, d)
 	if s.Urgent {
--- a/internal/runner/share_test.go
+++ b/internal/runner/share_test.go
@@ -126,6 +126,9 @@
 		z.lose("h8", true)
 		z.pools[0].Announce(announced("r1", 1, true))
 		time.Sleep(300 * time.Millisecond)
+		for i := range z.pools[:8] {
+			g.Expect(z.known(i)).To(BeEmpty(), "host %d waits for its tick", i)
+		}
 		z.lose("h8", false)
 		time.Sleep(700 * time.Millisecond)
 		for i := range z.pools {
--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -37,6 +37,7 @@
 	Keep float64
 	// Cooldown is the time from the first ejection to the first probe.
 	Cooldown time.Duration
+	Policy   Policy
 	// Seed makes choices repeatable; 0 takes a random seed.
 	Seed uint64
 }
@@ -55,6 +56,7 @@
 	rnd      *rand.Rand
 	targets  map[string]*target
 	services map[string]*service
+	turn     int
 }
 
 // service holds what the runners of one service have in common.
@@ -99,6 +101,9 @@
 	rank, hosts := b.cfg.Share()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.cfg.Policy != TwoChoices {
+		return b.pickBlind(name, runners, exclude)
+	}
 	free := b.free(runners, exclude, now, rank, hosts)
 	if len(free) == 0 {
 		return carawayshift.Runner{}, nil, 0, b.unavailable(name, runners, exclude)
@@ -241,7 +246,9 @@
 	if err != nil {
 		t.hold(now, time.Duration(s.mean.value()*float64(time.Second)))
 	}
-	b.judge(t, runners, now, err == nil)
+	if b.cfg.Policy == TwoChoices {
+		b.judge(t, runners, now, err == nil)
+	}
 }
 
 func (b *Balancer) service(name string) *service {
