Run the thin path as separate processes

Cause: the parts had only run in tests of their own. Change: internal/server joins them with wire; the commands serve, query, check, keys, standin and load start them.

--- a/cmd/carawayshift/main.go
+++ b/cmd/carawayshift/main.go
@@ -35,7 +35,8 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	k := kong.Parse(&cli{},
+	k := kong.Parse(
+		&cli{},
 		kong.Name("carawayshift"),
 		kong.Description("Scheduler for multi-accelerator jobs under team guarantees."),
 		kong.UsageOnError(),
--- /dev/null
+++ b/cmd/carawayshift/serve.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift/internal/keys"
+	"carawayshift.example/carawayshift/internal/server"
+	"carawayshift.example/carawayshift/internal/settings"
+)
+
+type serveCmd struct {
+	Settings string `help:"Settings file." required:"" type:"path"`
+}
+
+// Run serves until the process is told to stop. A faulty settings file starts
+// nothing.
+func (c *serveCmd) Run(ctx context.Context) error {
+	cfg, err := settings.Load(c.Settings)
+	if err != nil {
+		return errors.Wrapf(err, "%s, run \"carawayshift check %s\"", c.Settings, c.Settings)
+	}
+	o := server.Options{Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name)}
+	if o.ServerTLS, o.ClientTLS, err = keys.Load(cfg.TLS.CA, cfg.TLS.Cert, cfg.TLS.Key); err != nil {
+		return err
+	}
+	if err := listen(&o); err != nil {
+		return err
+	}
+	s, err := server.New(o)
+	if err != nil {
+		return err
+	}
+	o.Log.WithField("http", cfg.Listen.HTTP).Info("serving")
+	return s.Run(ctx)
+}
+
+func listen(o *server.Options) error {
+	var err error
+	if o.HTTP, err = net.Listen("tcp", o.Settings.Listen.HTTP.String()); err != nil {
+		return errors.Wrap(err, "listen for callers and targets, see [listen] http")
+	}
+	if o.Operators, err = net.Listen("tcp", o.Settings.Listen.Operators.String()); err != nil {
+		return errors.Wrap(err, "listen for operators, see [listen] operators")
+	}
+	o.Peers, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Settings.Listen.Peers))
+	return errors.Wrap(err, "listen for other hosts, see [listen] peers")
+}
+
+func newLog(cfg settings.Log, host string) logrus.FieldLogger {
+	l := logrus.New()
+	l.SetOutput(os.Stderr)
+	if level, err := logrus.ParseLevel(cfg.Level); err == nil {
+		l.SetLevel(level)
+	}
+	if cfg.Format == "json" {
+		l.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return l.WithField("host", host)
+}
--- /dev/null
+++ b/cmd/carawayshift/standin.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift/internal/standin/runner"
+	"carawayshift.example/carawayshift/internal/standin/worker"
+)
+
+type standinCmd struct {
+	Runner standinRunnerCmd `cmd:"" help:"A runner that answers requests of one service. Example: carawayshift standin runner --name r1 --zone belmont --service fitting --listen 127.0.0.1:9001 --entry http://127.0.0.1:8480"`
+	Worker standinWorkerCmd `cmd:"" help:"A worker that runs tasks as timers. Example: carawayshift standin worker --name w1 --zone belmont --rack r1 --listen 127.0.0.1:9101 --entry http://127.0.0.1:8480"`
+}
+
+type standinRunnerCmd struct {
+	Name        string        `help:"Name of the runner." required:""`
+	Zone        string        `help:"Availability zone." required:""`
+	Service     string        `help:"Service that it answers for." required:""`
+	Listen      string        `help:"IP:port to listen on and to announce." required:""`
+	Entry       []string      `help:"Base URL of an entry host; may be repeated." required:""`
+	Slots       int           `help:"Requests worked on at once." default:"8"`
+	Connections int           `help:"Connections accepted." default:"60"`
+	Work        time.Duration `help:"Service time of a request." default:"20ms"`
+	Seed        uint64        `help:"Seed of the faults." default:"1"`
+}
+
+// Run serves until the process is told to stop, then leaves gracefully.
+func (c *standinRunnerCmd) Run(ctx context.Context) error {
+	return runner.New(runner.Config{
+		Name: c.Name, Zone: c.Zone, Service: c.Service, Address: c.Listen, Hosts: c.Entry,
+		Slots: c.Slots, Connections: c.Connections, Work: c.Work, Seed: c.Seed,
+	}).Run(ctx)
+}
+
+type standinWorkerCmd struct {
+	Name         string   `help:"Name of the worker." required:""`
+	Zone         string   `help:"Availability zone." required:""`
+	Rack         string   `help:"Rack." required:""`
+	Listen       string   `help:"IP:port to listen on and to announce." required:""`
+	Entry        []string `help:"Base URL of an entry host; may be repeated." required:""`
+	Cores        int      `help:"Processor cores." default:"30"`
+	Memory       int      `help:"Memory in MB." default:"65536"`
+	Accelerators int      `help:"Accelerators." default:"8"`
+	Factor       float64  `help:"Actual run time of tasks divided by the declared one." default:"1"`
+}
+
+// Run serves until the process is told to stop. Its tasks end with it.
+func (c *standinWorkerCmd) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "standin worker")
+	}
+	w := worker.New(worker.Options{
+		Name: c.Name, Zone: c.Zone, Rack: c.Rack, Address: c.Listen, Entries: c.Entry,
+		Cores: c.Cores, Memory: c.Memory, Accelerators: c.Accelerators, Factor: c.Factor, Log: logrus.StandardLogger(),
+	})
+	srv := &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	return w.Run(ctx)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,11 +14,12 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
-	"carawayshift.example/carawayshift"
 	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/state"
 )
 
 const (
@@ -121,38 +122,11 @@
 	return true
 }
 
-// View builds the planner's view from the replicated state and the workers.
-func View(st carawayshift.State, workers []carawayshift.Worker, now time.Time) carawayshift.View {
-	v := carawayshift.View{Objective: carawayshift.Objective(st.Config["objective"])}
-	if v.Objective == "" {
-		v.Objective = carawayshift.ObjectiveCompletion
-	}
-	for _, z := range st.Zones {
-		v.Zones = append(v.Zones, z)
-	}
-	sort.Slice(v.Zones, func(i, j int) bool { return v.Zones[i].Name < v.Zones[j].Name })
-	for _, t := range st.Teams {
-		v.Teams = append(v.Teams, t)
-	}
-	sort.Slice(v.Teams, func(i, j int) bool { return v.Teams[i].Name < v.Teams[j].Name })
-	for _, w := range workers {
-		w.Quarantined = now.Before(st.Quarantine[w.Name])
-		v.Workers = append(v.Workers, w)
-	}
-	for _, j := range st.Jobs {
-		if !j.State.Ended() {
-			v.Jobs = append(v.Jobs, j)
-		}
-	}
-	sort.Slice(v.Jobs, func(i, j int) bool { return v.Jobs[i].ID < v.Jobs[j].ID })
-	return v
-}
-
 func (s *Scheduler) plan(ctx context.Context) {
 	now := time.Now()
 	st := s.opts.State()
 	s.withdrawStuck(ctx, st, now)
-	p := s.opts.Planner.Plan(now, View(st, s.opts.Workers(), now))
+	p := s.opts.Planner.Plan(now, state.View(now, st, s.opts.Workers()))
 	for _, stop := range p.Stops {
 		s.stop(ctx, stop)
 	}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -10,7 +10,6 @@
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/state"
-	"carawayshift.example/carawayshift/pkg/follower"
 	"carawayshift.example/carawayshift/pkg/journal"
 	"carawayshift.example/carawayshift/pkg/lease"
 	"carawayshift.example/carawayshift/pkg/replica"
@@ -29,14 +28,12 @@
 	carawayshift.Log
 	machine *state.Machine
 	replica *replica.Replica
-	// follower is nil on control hosts.
-	follower *follower.Follower
-	journal  *journal.Journal
+	journal *journal.Journal
 }
 
 func newControl(o Options, m *state.Machine, mesh *host.Mesh) (*control, func(), error) {
 	if o.Settings.Control.Data == "" {
-		return newFollowerControl(o, m, mesh)
+		return nil, nil, errors.New("server.newControl: a host without [control] is not supported yet")
 	}
 	j, err := journal.Open(o.Settings.Control.Data)
 	if err != nil {
@@ -54,10 +51,7 @@
 }
 
 func (c *control) run(ctx context.Context) error {
-	if c.replica != nil {
-		return c.replica.Run(ctx)
-	}
-	return c.follower.Run(ctx)
+	return c.replica.Run(ctx)
 }
 
 // confirmLeader returns the term of this host's leadership once a majority has
--- /dev/null
+++ b/internal/server/parts.go
@@ -0,0 +1,179 @@
+package server
+
+import (
+	"context"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/caller"
+	"carawayshift.example/carawayshift/internal/gang"
+	"carawayshift.example/carawayshift/internal/host"
+	"carawayshift.example/carawayshift/internal/operator"
+	"carawayshift.example/carawayshift/internal/runner"
+	"carawayshift.example/carawayshift/internal/scheduler"
+	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/internal/worker"
+	"carawayshift.example/carawayshift/pkg/balance"
+	"carawayshift.example/carawayshift/pkg/budget"
+	"carawayshift.example/carawayshift/pkg/claim"
+	"carawayshift.example/carawayshift/pkg/lease"
+	"carawayshift.example/carawayshift/pkg/placement"
+	"carawayshift.example/carawayshift/pkg/queue"
+)
+
+// versionTimeout bounds the question to each host for its version.
+const versionTimeout = time.Second
+
+func newMetrics() *metrics.Set { return metrics.NewSet() }
+
+func newPlanner() carawayshift.Planner { return placement.New() }
+
+func newMachine(p carawayshift.Planner) *state.Machine { return state.New(p.CheckGuarantees) }
+
+func newMesh(o Options, set *metrics.Set) (*host.Mesh, error) {
+	var peers []host.Peer
+	for _, p := range o.Settings.Peers {
+		peers = append(peers, host.Peer{Name: p.Name, Zone: p.Zone, Region: p.Region, Addr: udpAddr(p.Peers)})
+	}
+	m, err := host.New(host.Config{
+		Name: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Peers: peers, Conn: o.Peers,
+		Server: o.ServerTLS, Client: o.ClientTLS, Log: o.Log, Metrics: set,
+	})
+	return m, errors.Wrap(err, "server.newMesh")
+}
+
+func newWorkers(o Options, c *control, t *lease.Table, mesh *host.Mesh) *worker.Client {
+	return worker.New(worker.Options{
+		Host: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Transport: mesh, Peers: o.zonePeers, Leader: c.leader,
+		Holder: func() bool { _, ok := t.Valid(); return ok }, Log: o.Log,
+	})
+}
+
+func newAgent(o Options, c *control, t *lease.Table, w *worker.Client, mesh *host.Mesh) *gang.Agent {
+	return gang.New(gang.Options{
+		Host: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Hosts: o.zoneHosts(o.Settings.Host.Zone),
+		Log: c.Log, State: c.machine.State, Lease: func() (uint64, bool) { return leaseNumber(t) },
+		Workers: w, Transport: mesh, Logger: o.Log,
+	})
+}
+
+func newScheduler(o Options, c *control, w *worker.Client, p carawayshift.Planner) *scheduler.Scheduler {
+	return scheduler.New(scheduler.Options{
+		Host: o.Settings.Host.Name, Log: c.Log, State: c.machine.State, Workers: w.All, Planner: p, Logger: o.Log,
+	})
+}
+
+func newPool(o Options, mesh *host.Mesh, set *metrics.Set) *runner.Pool {
+	return runner.New(runner.Config{
+		Host: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Peers: o.zonePeers, Transport: mesh,
+		Metrics: set, Log: o.Log,
+	})
+}
+
+func newBalancer(p *runner.Pool) *balance.Balancer {
+	return balance.New(balance.Config{Runners: p.Runners, Shared: p.Shared, Share: p.Share})
+}
+
+func newQueue(o Options, b *balance.Balancer) *queue.Queue {
+	return queue.New(queue.Config{Limit: o.Settings.Requests.Queue, Expect: b.Expect})
+}
+
+func newClaims(o Options, mesh *host.Mesh) (*claim.Registry, error) {
+	path := ""
+	if o.Settings.Control.Data != "" {
+		path = filepath.Join(o.Settings.Control.Data, "claims")
+	}
+	r, err := claim.New(claim.Config{
+		Host: o.Settings.Host.Name, Zones: o.zoneNames, Hosts: o.zoneHosts, Transport: mesh, Path: path,
+	})
+	return r, errors.Wrap(err, "server.newClaims")
+}
+
+func newCaller(o Options, c *control, p *runner.Pool, b *balance.Balancer, q *queue.Queue, r *claim.Registry, set *metrics.Set) (*caller.Handler, error) {
+	token, err := o.hopToken()
+	if err != nil {
+		return nil, err
+	}
+	return caller.New(caller.Config{
+		Host: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Pool: p, Balancer: b, Queue: q,
+		Budget: budget.New(budget.Config{}), Claims: r, HopToken: token, Zones: o.zones, Entries: o.entries,
+		Limit:     func(team string) int { return c.machine.State().Teams[team].Limit },
+		BodyLimit: o.Settings.Requests.Body, Metrics: set, Log: o.Log,
+	}), nil
+}
+
+func newOperator(o Options, c *control, w *worker.Client, p *runner.Pool, planner carawayshift.Planner, v *versions) *operator.Handler {
+	return operator.New(operator.Config{
+		Log: c.Log, State: c.machine.State, Wait: c.machine.Wait,
+		Workers: func() []carawayshift.Worker { return w.Everywhere(context.Background()) },
+		Runners: p.All, Planner: planner, Hosts: v.all, Logger: o.Log,
+	})
+}
+
+// versions asks the deployment's hosts for the version that is in force.
+type versions struct {
+	opts    Options
+	machine *state.Machine
+	mesh    *host.Mesh
+
+	mu   sync.Mutex
+	last map[string]seenVersion
+}
+
+type seenVersion struct {
+	version uint64
+	at      time.Time
+}
+
+// versionReply is a host's version in force.
+type versionReply struct {
+	Version uint64 `cbor:"1,keyasint"`
+}
+
+func newVersions(o Options, m *state.Machine, mesh *host.Mesh) *versions {
+	v := &versions{opts: o, machine: m, mesh: mesh, last: map[string]seenVersion{}}
+	mesh.Handle("state.version", func(context.Context, string, []byte) ([]byte, error) {
+		return carawayshift.Encode(versionReply{Version: m.State().Version})
+	})
+	return v
+}
+
+// all returns every host's version, and for a host that does not answer the
+// last version that it reported.
+func (v *versions) all(ctx context.Context) []operator.HostVersion {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, p := range v.opts.Settings.Peers {
+		wg.Go(func() { v.ask(ctx, p.Name) })
+	}
+	wg.Wait()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []operator.HostVersion
+	for _, p := range v.opts.Settings.Peers {
+		s := v.last[p.Name]
+		list = append(list, operator.HostVersion{Name: p.Name, Version: s.version, Age: time.Since(s.at)})
+	}
+	return list
+}
+
+func (v *versions) ask(ctx context.Context, name string) {
+	reply := versionReply{Version: v.machine.State().Version}
+	if name != v.opts.Settings.Host.Name {
+		b, err := v.mesh.Call(ctx, name, "state.version", nil)
+		if err != nil || carawayshift.Decode(b, &reply) != nil {
+			return
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if reply.Version >= v.last[name].version {
+		v.last[name] = seenVersion{reply.Version, time.Now()}
+	}
+}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -28,7 +28,8 @@
 
 // Options configures a Client.
 type Options struct {
-	// Zone is the zone of this host.
+	// Host is this host, Zone its zone.
+	Host      string
 	Zone      string
 	Transport carawayshift.Transport
 	// Peers returns the other hosts of the zone.
@@ -60,6 +61,9 @@
 	// sent is the table that the leader has, as far as this host knows.
 	sent   map[string]carawayshift.Worker
 	sentTo string
+	// list is the leader's table as of fetched.
+	list    []carawayshift.Worker
+	fetched time.Time
 	// changed is closed and replaced when a table changes.
 	changed chan struct{}
 }
@@ -85,6 +89,7 @@
 	}
 	opts.Transport.Handle("worker.share", c.handleShare)
 	opts.Transport.Handle("worker.digest", c.handleDigest)
+	opts.Transport.Handle("worker.list", c.handleList)
 	return c
 }
 
--- a/internal/worker/share.go
+++ b/internal/worker/share.go
@@ -146,8 +146,7 @@
 	d, table := c.digestFor(leader)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply digestReply
-	err := c.callPeer(ctx, leader, "worker.digest", d, &reply)
+	reply, err := c.deliver(ctx, leader, d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil || reply.Resend {
@@ -157,6 +156,16 @@
 	c.sent, c.sentTo = table, leader
 }
 
+// deliver hands the digest to the leader, which may be this host.
+func (c *Client) deliver(ctx context.Context, leader string, d digest) (digestReply, error) {
+	if leader == c.opts.Host {
+		return digestReply{Resend: !c.applyDigest(d)}, nil
+	}
+	var reply digestReply
+	err := c.callPeer(ctx, leader, "worker.digest", d, &reply)
+	return reply, err
+}
+
 func (c *Client) digestFor(leader string) (digest, map[string]carawayshift.Worker) {
 	table := map[string]carawayshift.Worker{}
 	for _, w := range c.Workers() {
