--- a/pkg/replica/change.go
+++ b/pkg/replica/change.go
@@ -75,9 +75,10 @@
 			return unavailable("host "+host+" does not answer", "start it with an empty data folder, then add it")
 		}
 	}
+	round := r.askRound(ctx)
 	p := newProposal(ctx, KindMembership, nil)
 	p.build = func() ([]byte, error) {
-		list, err := r.changedMembers(op, host, joining)
+		list, err := r.changedMembers(op, host, joining, round)
 		if err != nil {
 			return nil, err
 		}
@@ -90,9 +91,42 @@
 	return err
 }
 
+// askRound asks all peers for a sign of life and waits for it, or for the time
+// of one call. A removal that trusted older signs could leave a majority that
+// has just died, and then nothing could be committed any more.
+func (r *Replica) askRound(ctx context.Context) uint64 {
+	r.mu.Lock()
+	l := r.lead
+	if l == nil {
+		r.mu.Unlock()
+		return 0
+	}
+	l.round++
+	round := l.round
+	r.notify()
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, r.callTimeout())
+	defer cancel()
+	_ = r.await(ctx, func() bool {
+		for _, p := range l.peers {
+			if p.round < round {
+				return r.lead != l
+			}
+		}
+		return true
+	})
+	return round
+}
+
+// current tells whether a peer answered in a round and holds every committed
+// entry. It needs r.mu.
+func (r *Replica) current(p *peer, round uint64) bool {
+	return p != nil && !p.refused && p.round >= round && p.match >= r.commit
+}
+
 // changedMembers returns the membership after one change, or why it is not allowed.
 // It needs r.mu.
-func (r *Replica) changedMembers(op, host string, joining helloReply) ([]Member, error) {
+func (r *Replica) changedMembers(op, host string, joining helloReply, round uint64) ([]Member, error) {
 	c := r.configs[len(r.configs)-1]
 	if !r.lead.ready(r.commit) || c.index > r.commit {
 		return nil, notRun("another membership change is not committed yet", retryRemedy)
@@ -102,9 +136,9 @@
 	case opAdd:
 		return r.added(c.members, m, ok, host, joining)
 	case opPromote:
-		return r.promoted(c.members, m, ok)
+		return r.promoted(c.members, m, ok, round)
 	case opRemove:
-		return r.removed(c.members, m, ok)
+		return r.removed(c.members, m, ok, round)
 	}
 	return nil, carawayshift.NewError(carawayshift.Malformed, "unknown membership change "+op, "upgrade the older host")
 }
@@ -119,14 +153,14 @@
 	return append(slices.Clone(list), Member{Host: host, Identity: joining.Identity}), nil
 }
 
-func (r *Replica) promoted(list []Member, m Member, ok bool) ([]Member, error) {
+func (r *Replica) promoted(list []Member, m Member, ok bool, round uint64) ([]Member, error) {
 	p := r.lead.peers[m.Host]
 	switch {
 	case !ok || p == nil:
 		return nil, carawayshift.NewError(carawayshift.NotFound, "the host is not a member", "add it as a learner first")
 	case m.Voter:
 		return nil, carawayshift.NewError(carawayshift.Conflict, m.Host+" is a voter already", "none is needed")
-	case !r.healthy(p) || p.match < r.commit:
+	case !r.current(p, round):
 		return nil, unavailable(m.Host+" does not hold every committed entry yet", "wait until it has caught up, then promote it")
 	}
 	list = slices.Clone(list)
@@ -138,7 +172,7 @@
 	return list, nil
 }
 
-func (r *Replica) removed(list []Member, m Member, ok bool) ([]Member, error) {
+func (r *Replica) removed(list []Member, m Member, ok bool, round uint64) ([]Member, error) {
 	switch {
 	case !ok:
 		return nil, carawayshift.NewError(carawayshift.NotFound, "the host is not a member", "none is needed")
@@ -150,8 +184,7 @@
 	rest := voters(without(list, m.Host))
 	n := 0
 	for _, v := range rest {
-		p := r.lead.peers[v.Host]
-		if v.Host == r.cfg.Host || (p != nil && r.healthy(p) && p.match >= r.commit) {
+		if v.Host == r.cfg.Host || r.current(r.lead.peers[v.Host], round) {
 			n++
 		}
 	}
--- /dev/null
+++ b/pkg/replica/rules_test.go
@@ -0,0 +1,284 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/journal"
+)
+
+// Guards against a leader that goes on without a majority, and against a
+// false NotRun: what it had in its log may still be committed by others.
+func TestLeaderWithoutMajorityStepsDown(t *testing.T) {
+	for _, in := range []bool{true, false} { // cut both ways, or only what it receives
+		inBubble(t, 6, 3, Config{}, func(g *group) {
+			w := NewWithT(g.t)
+			old := g.waitLeader()
+			g.cutHost(old.name, in, true, true)
+			start := time.Now()
+			_, err := g.set(old, "a", "k", "v")
+			w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.OutcomeUnknown))
+			w.Expect(old.r.await(g.ctx, func() bool { return old.r.lead == nil })).To(Succeed())
+			_, err = g.set(old, "b", "k", "v")
+			w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.NotRun))
+			g.waitLeader()
+			w.Expect(time.Since(start)).To(BeNumerically("<", 12*time.Second))
+		})
+	}
+}
+
+// Guards against a step-down that takes longer than an election timeout and
+// one interval of its check.
+func TestStepDownTime(t *testing.T) {
+	inBubble(t, 7, 5, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		old := g.waitLeader()
+		g.cutHost(old.name, true, true, true)
+		time.Sleep(1150 * time.Millisecond)
+		w.Expect(old.r.Status().Leader).NotTo(Equal(old.name))
+	})
+}
+
+// Guards against a host that was cut off and forces a new term on a healthy
+// group when it returns.
+func TestReturningHostKeepsTerm(t *testing.T) {
+	inBubble(t, 8, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		other, _ := g.others(leader)
+		term := leader.r.term()
+		g.cutHost(other.name, true, true, true)
+		time.Sleep(30 * time.Second)
+		g.cutHost(other.name, true, true, false)
+		time.Sleep(10 * time.Second)
+		w.Expect(leader.r.Status().Ready).To(BeTrue())
+		w.Expect(leader.r.term()).To(Equal(term))
+	})
+}
+
+// Guards against membership changes that make the group lose its majority or
+// state. Host n1 is the learner.
+func TestMembershipRules(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults func(g *group, leader, a, b *node)
+		change func(r *Replica, ctx context.Context, host string) error
+		host   func(leader, a, b *node) string
+		want   carawayshift.Kind
+	}{
+		{
+			"remove a voter, rest not a healthy majority",
+			func(g *group, _, a, _ *node) { g.kill(a.name) }, (*Replica).Remove,
+			func(_, _, b *node) string { return b.name }, carawayshift.Unavailable,
+		},
+		{
+			"remove the dead voter", func(g *group, _, a, _ *node) { g.kill(a.name) }, (*Replica).Remove,
+			func(_, a, _ *node) string { return a.name }, "",
+		},
+		{
+			"remove the leader", func(*group, *node, *node, *node) {}, (*Replica).Remove,
+			func(leader, _, _ *node) string { return leader.name }, carawayshift.Refused,
+		},
+		{
+			"promote a learner that lags", func(g *group, leader, _, _ *node) {
+				g.net.cutOff(leader.name, "n1", true)
+				_, _ = g.set(leader, "late", "k", "v")
+			}, (*Replica).Promote, func(_, _, _ *node) string { return "n1" }, carawayshift.Unavailable,
+		},
+		{
+			"promote a learner that has caught up", func(*group, *node, *node, *node) {}, (*Replica).Promote,
+			func(_, _, _ *node) string { return "n1" }, "",
+		},
+		{
+			"add a member with a new disk", func(g *group, _, a, _ *node) {
+				g.lose(a.name)
+				g.start(a.name)
+			}, (*Replica).AddLearner, func(_, a, _ *node) string { return a.name }, carawayshift.Conflict,
+		},
+		{
+			"add a host that is down", func(*group, *node, *node, *node) {}, (*Replica).AddLearner,
+			func(_, _, _ *node) string { return "nobody" }, carawayshift.Unavailable,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 9, 3, Config{}, func(g *group) {
+				leader := g.waitLeader()
+				a, b := g.others(leader)
+				g.start("n1")
+				g.admin("add", "n1", (*Replica).AddLearner)
+				time.Sleep(time.Second)
+				tt.faults(g, leader, a, b)
+				ctx, cancel := context.WithTimeout(g.ctx, 4*time.Second)
+				defer cancel()
+				err := tt.change(leader.r, ctx, tt.host(leader, a, b))
+				NewWithT(g.t).Expect(carawayshift.KindOf(err)).To(Equal(tt.want), "%v", err)
+			})
+		})
+	}
+}
+
+// Guards against a learner or an uncommitted change that counts, which would
+// let two changes at a time form disjoint majorities.
+func TestOneChangeAtATime(t *testing.T) {
+	inBubble(t, 10, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		a, b := g.others(leader)
+		g.start("n1")
+		g.start("n2")
+		g.start("n3")
+		g.admin("add", "n1", (*Replica).AddLearner)
+		time.Sleep(time.Second)
+		for _, n := range []*node{a, b} {
+			g.cutHost(n.name, true, true, true)
+		}
+		errs := make(chan error, 2)
+		for _, host := range []string{"n2", "n3"} {
+			go func() {
+				ctx, cancel := context.WithTimeout(g.ctx, 700*time.Millisecond)
+				defer cancel()
+				errs <- leader.r.changeHere(ctx, opAdd, host)
+			}()
+		}
+		kinds := []carawayshift.Kind{carawayshift.KindOf(<-errs), carawayshift.KindOf(<-errs)}
+		w.Expect(kinds).To(ConsistOf(carawayshift.NotRun, carawayshift.OutcomeUnknown))
+	})
+}
+
+// Guards against a far-behind host that can't catch up after compaction, and
+// against chunks of a large snapshot that are lost or repeated.
+func TestSnapshotCatchUp(t *testing.T) {
+	inBubble(t, 11, 3, Config{SnapshotEntries: 10, KeepEntries: 2}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		behind, _ := g.others(leader)
+		g.kill(behind.name)
+		for i := range 30 {
+			_, err := g.set(leader, fmt.Sprint("c", i), fmt.Sprint("k", i), strings.Repeat("x", 20<<10))
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+		g.net.noise(0.1, 0.1, 20*time.Millisecond)
+		g.start(behind.name)
+		for i := range 20 {
+			_, err := g.set(behind, fmt.Sprint("d", i), "k", fmt.Sprint(i))
+			w.Expect(carawayshift.KindOf(err)).To(Or(BeEmpty(), Equal(carawayshift.OutcomeUnknown)))
+		}
+		g.net.noise(0, 0, time.Millisecond)
+		g.converge()
+		w.Expect(len(behind.machine.bytes())).To(BeNumerically(">", 9*chunkBytes))
+	})
+}
+
+// Guards against an outage when the leader's host stops in an orderly way.
+func TestTransfer(t *testing.T) {
+	inBubble(t, 12, 5, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		old := g.waitLeader()
+		to, _ := g.others(old)
+		start := time.Now()
+		w.Expect(to.r.Transfer(g.ctx, to.name)).To(Succeed())
+		w.Expect(g.waitLeader().name).To(Equal(to.name))
+		_, err := g.set(old, "a", "k", "v")
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+}
+
+// Guards against a second group: hosts of the first settings that all lost
+// their disks but one must not form a new one.
+func TestLostDisksFormNoGroup(t *testing.T) {
+	inBubble(t, 13, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		a, b := g.others(leader)
+		g.lose(a.name)
+		g.lose(b.name)
+		g.start(a.name)
+		g.start(b.name)
+		time.Sleep(time.Minute)
+		for _, s := range g.statuses() {
+			w.Expect(s.Ready).To(BeFalse())
+		}
+		w.Expect(a.r.Status().Members).To(BeEmpty())
+	})
+}
+
+// Guards against a copy of the state on another host that differs: entries
+// and snapshots are pulled, and each change is notified.
+func TestPull(t *testing.T) {
+	inBubble(t, 14, 1, Config{SnapshotEntries: 10, KeepEntries: 3}, func(g *group) {
+		w := NewWithT(g.t)
+		n := g.waitLeader()
+		_, changed := n.r.Watch()
+		for i := range 25 {
+			_, err := g.set(n, fmt.Sprint("c", i), "k", fmt.Sprint(i))
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+		w.Expect(changed).To(BeClosed())
+		_, err := n.r.Entries(1, 100)
+		w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.NotFound))
+		index, data, err := n.r.Snapshot()
+		w.Expect(err).NotTo(HaveOccurred())
+		m := newRegisters()
+		w.Expect(m.Restore(bytes.NewReader(data))).To(Succeed())
+		list, err := n.r.Entries(index+1, 100)
+		w.Expect(err).NotTo(HaveOccurred())
+		for _, e := range list {
+			if e.Kind == KindCommand {
+				m.Apply(e.Index, e.Data)
+			}
+		}
+		w.Expect(m.bytes()).To(Equal(n.machine.bytes()))
+	})
+}
+
+// Guards against a late message of an earlier call that shortens the log: its
+// entries are a prefix of what was acknowledged since.
+func TestLateAppendKeepsEntries(t *testing.T) {
+	inBubble(t, 15, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		n, _ := g.others(leader)
+		for i := range 5 {
+			_, err := g.set(leader, fmt.Sprint("c", i), "k", "v")
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(time.Second)
+		last := n.j.Last()
+		list, err := leader.j.Entries(3, 2, maxInt)
+		w.Expect(err).NotTo(HaveOccurred())
+		term, _ := leader.j.Term(2)
+		_, err = n.r.take(leader.name, appendRequest{
+			Term: leader.r.term(), Prev: 2, PrevTerm: term, To: n.j.Hard().Identity,
+			Entries: toWire([]journal.Entry{list[0], list[1]}),
+		})
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(n.j.Last()).To(Equal(last))
+	})
+}
+
+// Guards against a command without an end: the deadline of the calling host
+// holds on the leader too.
+func TestForwardedDeadline(t *testing.T) {
+	inBubble(t, 16, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		n, other := g.others(leader)
+		g.kill(other.name)
+		g.net.cutOff(leader.name, n.name, true) // the leader can't commit, nor answer
+		ctx, cancel := context.WithTimeout(g.ctx, 800*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := n.r.Propose(ctx, carawayshift.Command{ID: "a", Because: "*"})
+		w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.OutcomeUnknown))
+		w.Expect(time.Since(start)).To(BeNumerically("<=", time.Second))
+	})
+}
