--- a/internal/caller/history_test.go
+++ b/internal/caller/history_test.go
@@ -36,7 +36,7 @@
 const (
 	callers   = 16
 	perCaller = 30
-	keys      = 12
+	keys      = 60
 )
 
 // run lets all callers finish their requests.
--- a/internal/caller/measure_test.go
+++ b/internal/caller/measure_test.go
@@ -210,5 +210,5 @@
 	r, _, n := trial{runners: 10, load: c, during: kill, warmup: time.Second, zones: []string{"a1", "a2"}}.run(t)
 	t.Logf("sends %d, retries %d (%.4f), forwards %d, answered %.4f", n.sends, n.retries, float64(n.retries)/float64(n.sends), n.forwards, float64(r.Answered)/float64(r.Sent))
 	g.Expect(float64(n.retries)).To(BeNumerically("<=", 0.1*float64(n.sends)))
-	g.Expect(float64(r.Answered)/float64(r.Sent)).To(BeNumerically(">=", 0.9))
+	g.Expect(float64(r.Answered) / float64(r.Sent)).To(BeNumerically(">=", 0.9))
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -67,6 +67,8 @@
 	client *http.Client
 	server *http.Server
 	slots  chan struct{}
+	stop   chan struct{}
+	once   sync.Once
 
 	mu      sync.Mutex
 	rnd     *rand.Rand
@@ -83,6 +85,7 @@
 		cfg:    cfg,
 		client: &http.Client{Timeout: cfg.Interval, Transport: &http.Transport{DialContext: cfg.Dial}},
 		slots:  make(chan struct{}, cfg.Slots),
+		stop:   make(chan struct{}),
 		rnd:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		faults: cfg.Faults,
 		runs:   map[string]int{},
@@ -140,6 +143,8 @@
 		select {
 		case <-ctx.Done():
 			return r.leave(context.WithoutCancel(ctx), served)
+		case <-r.stop:
+			return r.leave(context.WithoutCancel(ctx), served)
 		case err := <-served:
 			return killed(err)
 		case <-tick.C:
@@ -147,6 +152,9 @@
 	}
 }
 
+// Stop makes Run leave as if its context had ended.
+func (r *Runner) Stop() { r.once.Do(func() { close(r.stop) }) }
+
 // Leave sets the leaving flag, which the next announcement carries.
 func (r *Runner) Leave() {
 	r.mu.Lock()
