--- a/cmd/carawayshift/demo.go
+++ b/cmd/carawayshift/demo.go
@@ -1,8 +1,25 @@
 package main
 
-import "context"
+import (
+	"context"
+	"io"
+	"os"
 
-type demoCmd struct{}
+	"github.com/sirupsen/logrus"
 
-// Run is replaced by the deployment in one process.
-func (c *demoCmd) Run(context.Context) error { return nil }
+	"carawayshift.example/carawayshift/internal/demo"
+)
+
+type demoCmd struct {
+	Verbose bool `help:"Print the hosts' log lines to standard error."`
+}
+
+// Run plays the session and fails when its checks do not hold.
+func (c *demoCmd) Run(ctx context.Context) error {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	if c.Verbose {
+		l.SetOutput(os.Stderr)
+	}
+	return demo.New(os.Stdout, l).Run(ctx)
+}
--- /dev/null
+++ b/cmd/carawayshift/process_test.go
@@ -0,0 +1,220 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	// patience is how long a step may take on a busy machine. It is no
+	// target: the processes run in real time.
+	patience = time.Minute
+	poll     = 100 * time.Millisecond
+)
+
+// deployment is a set of processes of the built binary on loopback.
+type deployment struct {
+	t     *testing.T
+	g     Gomega
+	dir   string
+	bin   string
+	hosts []*hostProcess
+}
+
+type hostProcess struct {
+	name, zone, region         string
+	http, operators, peers     string
+	voter                      bool
+	cmd                        *exec.Cmd
+	settings, certificate, key string
+}
+
+func newDeployment(t *testing.T, hosts []*hostProcess) *deployment {
+	d := &deployment{t: t, g: NewWithT(t), dir: t.TempDir(), hosts: hosts}
+	d.bin = filepath.Join(d.dir, "carawayshift")
+	out, err := exec.Command("go", "build", "-o", d.bin, ".").CombinedOutput()
+	d.g.Expect(err).NotTo(HaveOccurred(), string(out))
+	args := []string{"keys", "--dir", d.path("keys")}
+	for _, h := range hosts {
+		h.http, h.operators, h.peers = freePort(t, "tcp"), freePort(t, "tcp"), freePort(t, "udp")
+		args = append(args, "--host", h.name+"=127.0.0.1")
+	}
+	d.run(args...)
+	for _, h := range hosts {
+		d.writeSettings(h)
+		d.start(h)
+	}
+	return d
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
+
+// freePort returns a loopback address that was free a moment ago.
+func freePort(t *testing.T, network string) string {
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) writeSettings(h *hostProcess) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[host]\nname = %s\nzone = %s\nregion = %s\naddresses = 127.0.0.1\n", h.name, h.zone, h.region)
+	fmt.Fprintf(&b, "[listen]\nhttp = %s\noperators = %s\npeers = %s\n", h.http, h.operators, h.peers)
+	fmt.Fprintf(&b, "[tls]\nca = %s\ncert = %s\nkey = %s\n", d.path("keys/ca.pem"), d.path("keys/"+h.name+".pem"), d.path("keys/"+h.name+".key"))
+	if h.voter {
+		fmt.Fprintf(&b, "[control]\ndata = %s\n", d.path(h.name))
+	}
+	b.WriteString("[zones]\nlaventille = north\nbelmont = north\nsan-fernando = south\n[peers]\n")
+	for _, p := range d.hosts {
+		voter := "no"
+		if p.voter {
+			voter = "yes"
+		}
+		fmt.Fprintf(&b, "%s = %s, %s, %s, %s, voter %s\n", p.name, p.zone, p.region, p.peers, p.http, voter)
+	}
+	h.settings = d.path(h.name + ".ini")
+	d.g.Expect(os.WriteFile(h.settings, []byte(b.String()), 0o600)).To(Succeed())
+}
+
+// start runs a process that the test ends by its id.
+func (d *deployment) spawn(log string, args ...string) *exec.Cmd {
+	f, err := os.OpenFile(d.path(log+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	cmd := exec.Command(d.bin, args...)
+	cmd.Stdout, cmd.Stderr = f, f
+	d.g.Expect(cmd.Start()).To(Succeed())
+	d.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		_ = f.Close()
+		if d.t.Failed() {
+			b, _ := os.ReadFile(d.path(log + ".log"))
+			d.t.Logf("log of %s:\n%s", log, b)
+		}
+	})
+	return cmd
+}
+
+func (d *deployment) start(h *hostProcess) {
+	h.cmd = d.spawn(h.name, "serve", "--settings", h.settings)
+}
+
+func (d *deployment) kill(h *hostProcess) {
+	d.g.Expect(h.cmd.Process.Signal(syscall.SIGKILL)).To(Succeed())
+	_ = h.cmd.Wait()
+}
+
+func (d *deployment) entries() []string {
+	var list []string
+	for _, h := range d.hosts {
+		list = append(list, "--entry", "http://"+h.http)
+	}
+	return list
+}
+
+func (d *deployment) run(args ...string) string {
+	out, err := exec.Command(d.bin, args...).CombinedOutput()
+	d.g.Expect(err).NotTo(HaveOccurred(), "%v: %s", args, out)
+	return string(out)
+}
+
+// query sends a statement to any host that answers.
+func (d *deployment) query(statement string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	args := []string{"query", "--operator", "night"}
+	for _, h := range d.hosts {
+		args = append(args, "--entry", "http://"+h.operators)
+	}
+	out, err := exec.CommandContext(ctx, d.bin, append(args, statement)...).CombinedOutput()
+	return string(out), err
+}
+
+// accept sends a statement until it is accepted. A statement that was refused
+// as not run, or for want of workers that have not announced themselves yet,
+// may be sent again.
+func (d *deployment) accept(statement string) {
+	d.g.Eventually(func() (string, error) { return d.query(statement) }, patience, poll).Should(ContainSubstring("accepted"), statement)
+}
+
+func (d *deployment) show(statement string) func() (string, error) {
+	return func() (string, error) { return d.query(statement) }
+}
+
+func get(url string) (string, error) {
+	resp, err := (&http.Client{Timeout: patience}).Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", resp.Status, b)
+	}
+	return string(b), err
+}
+
+// Guards against parts that work alone but not as separate processes: the
+// wiring, the settings, the keys, and going on after hosts are killed.
+func TestDeploymentSurvivesKills(t *testing.T) {
+	lav1 := &hostProcess{name: "lav1", zone: "laventille", region: "north", voter: true}
+	bel1 := &hostProcess{name: "bel1", zone: "belmont", region: "north", voter: true}
+	bel2 := &hostProcess{name: "bel2", zone: "belmont", region: "north"}
+	san1 := &hostProcess{name: "san1", zone: "san-fernando", region: "south", voter: true}
+	d := newDeployment(t, []*hostProcess{lav1, bel1, bel2, san1})
+	for i, h := range []*hostProcess{lav1, bel1, san1} {
+		entries := []string{"--entry", "http://" + h.http}
+		if h == bel1 {
+			entries = append(entries, "--entry", "http://"+bel2.http)
+		}
+		d.spawn("r"+h.name, append([]string{"standin", "runner", "--name", "r" + h.name, "--zone", h.zone, "--service", "fitting", "--listen", freePort(t, "tcp")}, entries...)...)
+		for k := range 2 {
+			name := fmt.Sprintf("w%d%d", i, k)
+			d.spawn(name, append([]string{"standin", "worker", "--name", name, "--zone", h.zone, "--rack", "rack-" + h.name, "--listen", freePort(t, "tcp")}, entries...)...)
+		}
+	}
+	for _, s := range []string{
+		"create zone laventille region north", "create zone belmont region north", "create zone san-fernando region south",
+		"create team carnival guarantee 1x8", "create team wigs",
+		"create job mask team carnival tasks 2 accelerators 8 run 2s",
+	} {
+		d.accept(s)
+	}
+	for _, h := range d.hosts {
+		d.g.Eventually(func() (string, error) { return get("http://" + h.http + "/r/fitting/stilts") }, patience, poll).Should(ContainSubstring("/r/fitting/stilts"))
+	}
+	d.g.Eventually(d.show("why job 1"), patience, poll).Should(ContainSubstring("finished"))
+
+	d.kill(bel2)
+	d.kill(lav1)
+	d.hosts = []*hostProcess{bel1, san1}
+	d.accept("create job wig team wigs tasks 2 accelerators 8 run 2s")
+	d.g.Eventually(d.show("why job 2"), patience, poll).Should(ContainSubstring("finished"))
+	d.g.Eventually(func() (string, error) { return get("http://" + bel1.http + "/r/fitting/after") }, patience, poll).Should(ContainSubstring("/r/fitting/after"))
+
+	d.start(lav1)
+	d.g.Eventually(func() (string, error) { return d.query("show hosts") }, patience, poll).Should(MatchRegexp(`lav1 +7 +current`))
+}
--- a/internal/standin/worker/tasks.go
+++ b/internal/standin/worker/tasks.go
@@ -249,3 +249,16 @@
 	case <-time.After(d):
 	}
 }
+
+// StartsAfter counts the tasks that started after a time.
+func (w *Worker) StartsAfter(t time.Time) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, e := range w.history {
+		if e.What == "start" && e.At.After(t) {
+			n++
+		}
+	}
+	return n
+}
