follower: keep copies of the state through one relay per zone

Cause: hosts without a disk need the configuration, and the link between regions should carry each entry once. Ruled out: a push by the leader, which would need the list of hosts of each zone at the leader; reading the floor from the first voter that answers, since a voter may lag behind what a peer has shown. Change: Follower with Run, Ready, Age, Applied, WaitApplied, Progress and carawayshift.Log by forwarding.

--- /dev/null
+++ b/pkg/follower/follower_test.go
@@ -0,0 +1,210 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+const seeds = 200
+
+// host is one run of a process.
+type host struct {
+	*Follower
+	machine *counter
+	stop    func()
+	// shown is the highest index that this run of the process has shown, and
+	// before its first showing what the zone had shown when it started.
+	shown uint64
+}
+
+// start runs a host whose zone holds the members; those that are down are
+// not live.
+func (w *world) start(name string, zone []string) *host {
+	h := &host{machine: &counter{}}
+	h.Follower = New(Config{
+		Host: name, Transport: link{w, name}, Machine: h.machine, Logger: quiet(),
+		Voters: func() []string { return []string{"v1", "v2"} },
+		Members: func() []string {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			var out []string
+			for _, m := range zone {
+				if m != name && !w.down[m] {
+					out = append(out, m)
+				}
+			}
+			return out
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(ctx)
+	}()
+	h.stop = func() {
+		cancel()
+		<-done
+	}
+	return h
+}
+
+func names(zone string, n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprint(zone, i+1))
+	}
+	return out
+}
+
+// Guards against a copy that goes back, skips or repeats an entry, against a
+// host that serves something older than its zone has shown, and against a
+// zone that does not catch up, over restarts, relay loss, cuts and compaction.
+func TestHistoriesNeverGoBack(t *testing.T) {
+	served := 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(seed)
+			w.loss = 0.05
+			zone := names("b", 4)
+			hosts := map[string]*host{}
+			for _, n := range zone {
+				hosts[n] = w.start(n, zone)
+			}
+			// shown is the highest index that a ready host of the zone showed.
+			shown := uint64(0)
+			for range 80 {
+				// A host that is down can't tell the floor, so that odd seeds
+				// check each host against itself only.
+				w.event(hosts, zone, shown*(1-seed%2), seed%2 == 1)
+				time.Sleep(time.Duration(w.pick(1000)) * time.Millisecond)
+				for n, h := range hosts {
+					if h.Ready() == nil {
+						g.Expect(h.Applied()).To(BeNumerically(">=", h.shown), "seed %d: %s", seed, n)
+						h.shown = h.Applied()
+						shown = max(shown, h.shown)
+						served++
+					}
+				}
+			}
+			w.heal()
+			last := w.commit(0)
+			time.Sleep(20 * time.Second)
+			for n, h := range hosts {
+				g.Expect(h.Ready()).To(Succeed())
+				g.Expect(h.Applied()).To(Equal(last), "seed %d: %s", seed, n)
+				g.Expect(h.Age()).To(BeNumerically("<", maxAge))
+				h.stop()
+				g.Expect(h.machine.fault).To(BeEmpty(), "seed %d: %s", seed, n)
+			}
+		})
+	}
+	t.Logf("%d seeds, %d checks of ready hosts", seeds, served)
+}
+
+func (w *world) pick(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rnd.IntN(n)
+}
+
+func (w *world) event(hosts map[string]*host, zone []string, shown uint64, kill bool) {
+	name := zone[w.pick(len(zone))]
+	switch w.pick(8) {
+	case 0:
+		hosts[name].stop()
+		hosts[name] = w.start(name, zone)
+		hosts[name].shown = shown
+	case 1:
+		w.set(w.down, name, kill)
+		time.AfterFunc(5*time.Second, func() { w.set(w.down, name, false) })
+	case 2, 3:
+		far := []string{"v1", "v2", zone[w.pick(len(zone))]}[w.pick(3)]
+		way := []string{name + ">" + far, far + ">" + name}[w.pick(2)]
+		w.set(w.cut, way, true)
+		time.AfterFunc(time.Duration(w.pick(10))*time.Second, func() { w.set(w.cut, way, false) })
+	case 4:
+		s := w.sources["v1"]
+		s.mu.Lock()
+		s.first = s.commit
+		s.mu.Unlock()
+	default:
+		for range w.pick(20) {
+			w.commit(time.Duration(w.pick(3000)) * time.Millisecond)
+		}
+	}
+}
+
+func (w *world) heal() {
+	time.Sleep(11 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.loss = 0
+}
+
+// Guards against hosts behind the relay that pull over the link between
+// regions, and against progress that the leader does not learn.
+func TestOneRelayPerZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(1)
+		zone := names("b", 9)
+		var hosts []*host
+		for _, n := range zone {
+			hosts = append(hosts, w.start(n, zone))
+			defer hosts[len(hosts)-1].stop()
+		}
+		time.Sleep(30 * time.Second)
+		clear(w.calls)
+		began := time.Now()
+		last := w.commit(0)
+		for _, h := range hosts {
+			g.Expect(h.WaitApplied(t.Context(), last)).To(Succeed())
+		}
+		t.Log("applied on 9 hosts after", time.Since(began))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
+		time.Sleep(time.Second)
+		for _, n := range zone {
+			far := w.calls[n+">v1 "+methodPull] + w.calls[n+">v2 "+methodPull] + w.calls[n+">v1 "+methodReport]
+			g.Expect(far > 0).To(Equal(n == "b1"), n)
+			g.Expect(w.leaderProgress()[n].Index).To(Equal(last), n)
+		}
+		t.Log(w.calls)
+	})
+}
+
+func (w *world) leaderProgress() map[string]Seen {
+	return w.voters["v1"].Progress()
+}
+
+// Guards against answers that lose a field on the way, and against a copy
+// that claims to be fresh while its voters know no leader.
+func TestForwardsToVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(1)
+		h := w.start("b1", []string{"b1"})
+		defer h.stop()
+		time.Sleep(time.Second)
+		a, err := h.Propose(t.Context(), carawayshift.Command{ID: "x"})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(a).To(Equal(carawayshift.Answer{ID: "x", Version: 7, Repeated: true}))
+		w.commit(0)
+		g.Expect(h.Barrier(t.Context())).To(BeEquivalentTo(1))
+		for _, s := range w.sources {
+			s.mu.Lock()
+			s.leader = ""
+			s.mu.Unlock()
+		}
+		time.Sleep(time.Minute)
+		g.Expect(h.Age()).To(BeNumerically(">", 50*time.Second))
+	})
+}
--- /dev/null
+++ b/pkg/follower/forward.go
@@ -0,0 +1,105 @@
+package follower
+
+import (
+	"context"
+	"slices"
+
+	"carawayshift.example/carawayshift"
+)
+
+// proposed carries an Answer with the field that its own encoding leaves out.
+type proposed struct {
+	Answer   carawayshift.Answer `cbor:"1,keyasint"`
+	Repeated bool                `cbor:"2,keyasint,omitempty"`
+}
+
+type barrier struct {
+	Index uint64 `cbor:"1,keyasint,omitempty"`
+}
+
+// Propose implements carawayshift.Log by way of the leader.
+func (f *Follower) Propose(ctx context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
+	if f.cfg.Log != nil {
+		return f.cfg.Log.Propose(ctx, c)
+	}
+	var out proposed
+	err := f.forward(ctx, methodPropose, c, &out)
+	out.Answer.Repeated = out.Repeated
+	return out.Answer, err
+}
+
+// Barrier implements carawayshift.Log by way of the leader.
+func (f *Follower) Barrier(ctx context.Context) (uint64, error) {
+	if f.cfg.Log != nil {
+		return f.cfg.Log.Barrier(ctx)
+	}
+	var out barrier
+	err := f.forward(ctx, methodBarrier, barrier{}, &out)
+	return out.Index, err
+}
+
+// Leader implements carawayshift.Log. It is as old as the copy.
+func (f *Follower) Leader() (host string, term uint64) {
+	if f.cfg.Log != nil {
+		return f.cfg.Log.Leader()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.term
+}
+
+// forward asks the leader, then the other voters. It goes on only after
+// refusals that prove that nothing was run.
+func (f *Follower) forward(ctx context.Context, method string, in, out any) error {
+	body, err := carawayshift.Encode(in)
+	if err != nil {
+		return err
+	}
+	hosts := slices.Clone(f.cfg.Voters())
+	if leader, _ := f.Leader(); leader != "" {
+		hosts = slices.DeleteFunc(hosts, func(h string) bool { return h == leader })
+		hosts = append([]string{leader}, hosts...)
+	}
+	err = carawayshift.NewError(carawayshift.NotRun, "no voter is known", "check [peers] in the settings")
+	for _, host := range hosts {
+		var reply []byte
+		reply, err = f.cfg.Transport.Call(ctx, host, method, body)
+		if err == nil {
+			return carawayshift.Decode(reply, out)
+		}
+		if carawayshift.KindOf(err) != carawayshift.NotRun || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (f *Follower) handlePropose(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var c carawayshift.Command
+	if err := carawayshift.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	if f.cfg.Log == nil {
+		return nil, notVoter(f.cfg.Host)
+	}
+	a, err := f.cfg.Log.Propose(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return carawayshift.Encode(proposed{Answer: a, Repeated: a.Repeated})
+}
+
+func (f *Follower) handleBarrier(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+	if f.cfg.Log == nil {
+		return nil, notVoter(f.cfg.Host)
+	}
+	index, err := f.cfg.Log.Barrier(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return carawayshift.Encode(barrier{Index: index})
+}
+
+func notVoter(host string) error {
+	return carawayshift.NewError(carawayshift.NotRun, "host "+host+" is no voter", "ask a voter")
+}
--- /dev/null
+++ b/pkg/follower/ready.go
@@ -0,0 +1,94 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+const floorRetry = 200 * time.Millisecond
+
+type floorReply struct {
+	Index uint64 `cbor:"1,keyasint"`
+	// Ready is false while the host looks for its own floor.
+	Ready bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Ready returns nil when the copy is at least as new as any that this host or
+// a peer has shown, and otherwise the reason. It stays nil until the host
+// restarts: a host that is cut off serves its old copy and tells its age.
+func (f *Follower) Ready() error {
+	if f.cfg.Source != nil {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.broken:
+		return carawayshift.NewError(carawayshift.Unavailable, "the last snapshot could not be restored", "run the same release on all hosts")
+	case !f.checked:
+		return carawayshift.NewError(carawayshift.Unavailable, "neither the leader nor a ready host of the zone was reached since the start", "wait, or check the links of this host")
+	case f.applied < f.floor:
+		return carawayshift.NewError(carawayshift.Unavailable, "the copy is older than one that was shown by a peer", "wait until it has caught up")
+	}
+	return nil
+}
+
+// findFloor asks until the floor is known. Either the leader names it, since
+// nothing newer than its commit index was ever shown; or, while no leader can
+// be reached, every live host of the zone does, of which at least one is
+// ready. A host of the zone that is down can't be asked.
+func (f *Follower) findFloor(ctx context.Context) {
+	for {
+		if index, err := f.boundedBarrier(ctx); err == nil {
+			f.setFloor(index, true)
+			return
+		}
+		if f.askPeers(ctx) {
+			return
+		}
+		if !sleep(ctx, floorRetry) {
+			return
+		}
+	}
+}
+
+func (f *Follower) boundedBarrier(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	return f.Barrier(ctx)
+}
+
+func (f *Follower) askPeers(ctx context.Context) bool {
+	ready := false
+	for _, host := range f.cfg.Members() {
+		var r floorReply
+		if err := f.call(ctx, callWait, host, methodFloor, floorReply{}, &r); err != nil {
+			return false
+		}
+		f.setFloor(r.Index, false)
+		ready = ready || r.Ready
+	}
+	if ready {
+		f.setFloor(0, true)
+	}
+	return ready
+}
+
+func (f *Follower) setFloor(index uint64, checked bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.floor = max(f.floor, index)
+	f.checked = f.checked || checked
+}
+
+func (f *Follower) handleFloor(context.Context, string, []byte) ([]byte, error) {
+	if f.cfg.Source != nil {
+		return carawayshift.Encode(floorReply{Index: f.cfg.Source.Commit(), Ready: true})
+	}
+	ready := f.Ready() == nil
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return carawayshift.Encode(floorReply{Index: f.floor, Ready: ready})
+}
