--- a/internal/operator/cancel.go
+++ b/internal/operator/cancel.go
@@ -39,8 +39,11 @@
 	}
 	a.Version, a.Repeated = max(a.Version, first.Version), first.Repeated
 	r := h.report(ctx, a)
-	r.Text = fmt.Sprintf("cancelled %d of %d jobs that match%s\n", len(ids)-len(refused), len(ids), list(ids)) +
+	r.Text = fmt.Sprintf("cancelled %d of %s that match%s\n", len(ids)-len(refused), count(len(ids)), list(ids)) +
 		strings.Join(refused, "") + r.Text
+	if first.Repeated {
+		r.Text += "jobs that it cancelled when it was sent first no longer match\n"
+	}
 	return r
 }
 
@@ -80,6 +83,14 @@
 	return last, refused, nil
 }
 
+// count returns the number of jobs in words.
+func count(n int) string {
+	if n == 1 {
+		return "1 job"
+	}
+	return fmt.Sprintf("%d jobs", n)
+}
+
 func list(ids []uint64) string {
 	const most = 20
 	if len(ids) == 0 {
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -13,11 +14,13 @@
 )
 
 // Waiting for a new version to be in force: an answer names the hosts that
-// are missing after forceTime. Followers have a version within about 100 ms
+// are missing after forceTime. Hosts that were not heard of for silentAge,
+// three announcement intervals, are named without waiting for them. Followers have a version within about 100 ms
 // in the same region, so that a healthy deployment answers well before.
 const (
 	forceTime = 2 * time.Second
 	forcePoll = 50 * time.Millisecond
+	silentAge = 3 * time.Second
 )
 
 // command proposes the command of a statement and reports its answer.
@@ -37,9 +40,31 @@
 	if err != nil {
 		return failure(err)
 	}
+	if a.Kind == carawayshift.NotFound {
+		a.Remedy = h.suggest(s) + a.Remedy
+	}
 	return h.report(ctx, a)
 }
 
+// suggest returns a sentence with the name of an existing object that is like
+// the one that was not found, or "".
+func (h *Handler) suggest(s statement.Statement) string {
+	st, wanted := h.cfg.State(), s.Name
+	var names []string
+	switch {
+	case s.Object == "zone":
+		names = slices.Sorted(maps.Keys(st.Zones))
+	case s.Object == "team":
+		names = slices.Sorted(maps.Keys(st.Teams))
+	case s.Object == "job" && s.Values != nil:
+		names, wanted = slices.Sorted(maps.Keys(st.Teams)), s.Values.Team
+	}
+	if near := statement.Near(wanted, names); near != "" {
+		return "did you mean " + near + "? "
+	}
+	return ""
+}
+
 func (h *Handler) propose(ctx context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTime)
 	defer cancel()
@@ -144,7 +169,7 @@
 func (h *Handler) addInForce(ctx context.Context, r *reply) {
 	deadline := time.Now().Add(forceTime)
 	hosts, missing := h.missing(ctx, r.Version)
-	for len(missing) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+	for slices.ContainsFunc(missing, heard) && time.Now().Before(deadline) && ctx.Err() == nil {
 		time.Sleep(forcePoll)
 		hosts, missing = h.missing(ctx, r.Version)
 	}
@@ -156,6 +181,8 @@
 	}
 }
 
+func heard(host HostVersion) bool { return host.Age < silentAge }
+
 func (h *Handler) missing(ctx context.Context, version uint64) (all int, missing []HostVersion) {
 	hosts := h.cfg.Hosts(ctx)
 	for _, host := range hosts {
--- a/internal/operator/effect.go
+++ b/internal/operator/effect.go
@@ -55,8 +55,8 @@
 	}
 	_, zones, _ := v.uses()
 	u := zones[s.Name]
-	return fmt.Sprintf("It would take zone %s out: nothing starts there from 3 s on, and %d jobs on %d accelerators are checkpointed and moved, least lost work first.\n",
-		s.Name, u.jobs, u.accelerators)
+	return fmt.Sprintf("It would take zone %s out: nothing starts there from 3 s on, and %s on %d accelerators must be checkpointed and moved, least lost work first.\n",
+		s.Name, count(u.jobs), u.accelerators)
 }
 
 func (v *view) jobsEffect(s statement.Statement) string {
@@ -68,7 +68,7 @@
 	}
 	if s.Object == "jobs" {
 		ids := v.cancellable(s)
-		return fmt.Sprintf("It would cancel %d jobs%s.\n", len(ids), list(ids))
+		return fmt.Sprintf("It would cancel %s%s.\n", count(len(ids)), list(ids))
 	}
 	j, ok := v.Jobs[s.Job]
 	if !ok || j.State.Ended() {
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -70,8 +70,8 @@
 // heldBy lists the jobs that the planner holds back by a rule of this name.
 func (v *view) heldBy(rule string) string {
 	var ids []uint64
-	frees := ""
-	for id, w := range v.plan().Waits {
+	waits := v.plan().Waits
+	for id, w := range waits {
 		if strings.EqualFold(w.Rule, rule) {
 			ids = append(ids, id)
 		}
@@ -80,6 +80,5 @@
 		return ""
 	}
 	slices.Sort(ids)
-	frees = v.plan().Waits[ids[0]].Frees
-	return fmt.Sprintf("it holds back %d jobs now%s\nfreed by: %s\n", len(ids), list(ids), frees)
+	return fmt.Sprintf("it holds back %s now%s\nfreed by: %s\n", count(len(ids)), list(ids), waits[ids[0]].Frees)
 }
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/report"
@@ -142,7 +143,7 @@
 func faultText(text string, err error) string {
 	f := statement.AsFault(err)
 	line := strings.Map(func(r rune) rune {
-		if r < ' ' {
+		if unicode.IsControl(r) {
 			return ' '
 		}
 		return r
--- a/internal/operator/why.go
+++ b/internal/operator/why.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -24,7 +25,7 @@
 	case carawayshift.JobPlaced, carawayshift.JobRunning, carawayshift.JobStopping:
 		whyActive(&b, j)
 	default:
-		whyAtRest(&b, j)
+		v.whyAtRest(&b, j)
 	}
 	b.WriteString(v.notesOn(fmt.Sprintf("job %d", j.ID), "team "+j.Team, "zone "+j.Zone))
 	return reply{Text: b.String(), Job: j.ID}
@@ -86,8 +87,10 @@
 	return names
 }
 
-func whyAtRest(b *strings.Builder, j carawayshift.Job) {
-	fmt.Fprintf(b, "reason: %s\n", report.Cell(j.Reason))
+func (v *view) whyAtRest(b *strings.Builder, j carawayshift.Job) {
+	if j.Reason != "" {
+		fmt.Fprintf(b, "reason: %s\n", report.Cell(j.Reason))
+	}
 	if len(j.FailedOn) > 0 {
 		fmt.Fprintf(b, "failed on: %s\n", strings.Join(j.FailedOn, ", "))
 	}
@@ -95,5 +98,19 @@
 		fmt.Fprintf(b, "since: %s\n", report.Cell(j.Ended))
 		return
 	}
+	if v.neverRuns(j) {
+		fmt.Fprintf(b, "next: set job %d with a size that fits, or cancel job %d\n", j.ID, j.ID)
+		return
+	}
 	fmt.Fprintf(b, "next: release job %d\n", j.ID)
 }
+
+// neverRuns reports whether the planner would park the job again if it were
+// released.
+func (v *view) neverRuns(j carawayshift.Job) bool {
+	j.State = carawayshift.JobWaiting
+	released := *v
+	released.Jobs = maps.Clone(v.Jobs)
+	released.Jobs[j.ID] = j
+	return slices.ContainsFunc(released.plan().Parks, func(p carawayshift.Park) bool { return p.Job == j.ID })
+}
--- a/internal/state/check.go
+++ b/internal/state/check.go
@@ -10,9 +10,11 @@
 
 // Limits of one command's content.
 const (
-	maxName   = 200
-	maxValue  = 1000
-	maxNote   = 4000
+	maxName  = 200
+	maxValue = 1000
+	// maxNote holds a statement of the greatest length, which is recorded as
+	// a note when it cancels many jobs.
+	maxNote   = 4096
 	maxConfig = 1000
 	// maxTasks is the largest gang that the system is designed for.
 	maxTasks = 64
--- a/internal/state/operators.go
+++ b/internal/state/operators.go
@@ -151,7 +151,7 @@
 
 func addNote(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
 	if c.Note == nil || c.Note.Text == "" || len(c.Note.Text) > maxNote {
-		return malformed("a note needs a text of 1 to 4,000 bytes", `type: note on job 41 "text"`)
+		return malformed("a note needs a text of 1 to 4,096 bytes", `type: note on job 41 "text"`)
 	}
 	if err := m.checkObject(c.Note.On); err != nil {
 		return err
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -38,9 +38,9 @@
 	return errors.Wrap(err, "state.Snapshot")
 }
 
+// encode takes no lock, so that readers are not held up: Apply and Restore,
+// which alone change the state, run on the same goroutine as Snapshot.
 func (m *Machine) encode() ([]byte, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	return carawayshift.Encode(snapshot{
 		Version: m.s.Version, Index: m.s.Index,
 		Zones: m.s.Zones, Teams: m.s.Teams, Jobs: m.s.Jobs, Notes: m.s.Notes,
