--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	Host  string
 	Log   carawayshift.Log
 	State func() carawayshift.State
+	// Wait returns when the entry at an index has been applied here.
+	Wait func(ctx context.Context, index uint64) error
 	// Workers returns the workers of all zones.
 	Workers func() []carawayshift.Worker
 	Planner carawayshift.Planner
@@ -106,7 +108,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	index, err := s.opts.Log.Barrier(ctx)
-	return err == nil && s.opts.State().Index >= index
+	return err == nil && s.opts.Wait(ctx, index) == nil
 }
 
 func (s *Scheduler) allZonesKnown() bool {
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -10,6 +10,7 @@
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/pkg/follower"
 	"carawayshift.example/carawayshift/pkg/journal"
 	"carawayshift.example/carawayshift/pkg/lease"
 	"carawayshift.example/carawayshift/pkg/replica"
@@ -27,13 +28,20 @@
 type control struct {
 	carawayshift.Log
 	machine *state.Machine
+	// replica is nil on hosts without [control].
 	replica *replica.Replica
-	journal *journal.Journal
+	// follower keeps the copy on hosts without [control], and serves such
+	// hosts on the others.
+	follower *follower.Follower
 }
 
 func newControl(o Options, m *state.Machine, mesh *host.Mesh) (*control, func(), error) {
 	if o.Settings.Control.Data == "" {
-		return nil, nil, errors.New("server.newControl: a host without [control] is not supported yet")
+		f := follower.New(follower.Config{
+			Host: o.Settings.Host.Name, Machine: m, Transport: mesh, Voters: o.nearVoters,
+			Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+		})
+		return &control{Log: f, machine: m, follower: f}, func() {}, nil
 	}
 	j, err := journal.Open(o.Settings.Control.Data)
 	if err != nil {
@@ -46,14 +54,75 @@
 		_ = j.Close()
 		return nil, nil, errors.Wrap(err, "server.newControl")
 	}
-	c := &control{Log: r, machine: m, replica: r, journal: j}
-	return c, func() { _ = j.Close() }, nil
+	f := follower.New(follower.Config{
+		Host: o.Settings.Host.Name, Transport: mesh, Source: source{r}, Log: r, Voters: o.nearVoters,
+		Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+	})
+	return &control{Log: r, machine: m, replica: r, follower: f}, func() { _ = j.Close() }, nil
+}
+
+func liveMembers(mesh *host.Mesh) []string {
+	var names []string
+	for _, m := range mesh.Members() {
+		if m.State == host.Alive {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// source lets followers read a replica's entries. Entries of the replica
+// itself are passed on empty, so that the indices of all hosts agree.
+type source struct{ r *replica.Replica }
+
+func (s source) Entries(from uint64, limit int) (entries [][]byte, ok bool) {
+	list, err := s.r.Entries(from, limit)
+	if carawayshift.KindOf(err) == carawayshift.NotFound {
+		return nil, false
+	}
+	for _, e := range list {
+		data := e.Data
+		if e.Kind != replica.KindCommand {
+			data = nil
+		}
+		entries = append(entries, data)
+	}
+	return entries, true
+}
+
+func (s source) Snapshot() (index uint64, data []byte) {
+	index, data, err := s.r.Snapshot()
+	if err != nil {
+		return 0, nil
+	}
+	return index, data
+}
+
+func (s source) Wait(ctx context.Context, index uint64) error { return s.r.WaitApplied(ctx, index) }
+
+func (s source) Commit() uint64 {
+	applied, _ := s.r.Watch()
+	return applied
 }
 
 func (c *control) run(ctx context.Context) error {
+	if c.replica == nil {
+		c.follower.Run(ctx)
+		return nil
+	}
+	go c.follower.Run(ctx)
 	return c.replica.Run(ctx)
 }
 
+// wait returns when the entry at index has been applied here. The machine's
+// own index does not count entries of the replica, such as term starts.
+func (c *control) wait(ctx context.Context, index uint64) error {
+	if c.replica != nil {
+		return c.replica.WaitApplied(ctx, index)
+	}
+	return c.follower.WaitApplied(ctx, index)
+}
+
 // confirmLeader returns the term of this host's leadership once a majority has
 // confirmed it and every entry committed before is applied here.
 func (c *control) confirmLeader(ctx context.Context, name string) (uint64, error) {
@@ -65,7 +134,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := c.machine.Wait(ctx, index); err != nil {
+	if err := c.wait(ctx, index); err != nil {
 		return 0, err
 	}
 	leader, now := c.Leader()
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"encoding/hex"
 	"net"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
@@ -51,13 +52,23 @@
 	return names
 }
 
-// voters returns the initial members of the replicated group.
-func (o Options) voters() []string {
-	var names []string
-	for _, p := range o.Settings.Peers {
-		if p.Voter {
-			names = append(names, p.Name)
+// nearVoters returns the voters, those of this zone first, then those of this
+// region, so that a relay crosses a region only when it must.
+func (o Options) nearVoters() []string {
+	distance := func(p settings.Peer) int {
+		switch {
+		case p.Zone == o.Settings.Host.Zone:
+			return 0
+		case p.Region == o.Settings.Host.Region:
+			return 1
 		}
+		return 2
+	}
+	voters := slices.DeleteFunc(slices.Clone(o.Settings.Peers), func(p settings.Peer) bool { return !p.Voter })
+	slices.SortStableFunc(voters, func(a, b settings.Peer) int { return distance(a) - distance(b) })
+	var names []string
+	for _, p := range voters {
+		names = append(names, p.Name)
 	}
 	return names
 }
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -64,7 +64,7 @@
 
 func newScheduler(o Options, c *control, w *worker.Client, p carawayshift.Planner) *scheduler.Scheduler {
 	return scheduler.New(scheduler.Options{
-		Host: o.Settings.Host.Name, Log: c.Log, State: c.machine.State, Workers: w.All, Planner: p, Logger: o.Log,
+		Host: o.Settings.Host.Name, Log: c.Log, Wait: c.wait, State: c.machine.State, Workers: w.All, Planner: p, Logger: o.Log,
 	})
 }
 
@@ -109,7 +109,7 @@
 
 func newOperator(o Options, c *control, w *worker.Client, p *runner.Pool, planner carawayshift.Planner, v *versions) *operator.Handler {
 	return operator.New(operator.Config{
-		Log: c.Log, State: c.machine.State, Wait: c.machine.Wait,
+		Log: c.Log, State: c.machine.State, Wait: c.wait,
 		Workers: func() []carawayshift.Worker { return w.Everywhere(context.Background()) },
 		Runners: p.All, Planner: planner, Hosts: v.all, Logger: o.Log,
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -159,6 +159,9 @@
 	if s.stopping {
 		reasons = append(reasons, "stopping")
 	}
+	if err := s.control.follower.Ready(); err != nil {
+		reasons = append(reasons, err.Error())
+	}
 	return reasons
 }
 
