Let a zone of two hosts start and stop gangs with one of them

Cause: the process test found that after one of two entry hosts of a zone was killed no gang got past its first renewal: the right to renew asked for a majority of the zone's hosts, also from the holder of a valid zone lease. Ruled out: dropping the confirmation. A host that lost the lease could then extend a task that its successor counts as expired. Change: a valid zone lease is enough to renew, since the end of a renewal is computed before the lease is checked. A host without the lease still needs a majority. A new holder announces its epoch to half of the hosts, itself included, before it counts down the leases of workers that it can't reach; majority and half of the hosts always overlap.

--- a/internal/gang/agent.go
+++ b/internal/gang/agent.go
@@ -67,6 +67,8 @@
 	// epoch is the highest lease epoch that this host knows; own is the
 	// epoch of the last lease that it held.
 	epoch, own uint64
+	// announced is the last own epoch that half of the zone's hosts know.
+	announced uint64
 	// confirmed is when a majority last knew no epoch newer than own.
 	confirmed time.Time
 }
@@ -150,10 +152,6 @@
 			return
 		}
 	default:
-		if !a.confirm(ctx) {
-			sleep(ctx, retryInterval)
-			return
-		}
 		at.adopt(ctx)
 	}
 	at.supervise(ctx)
--- a/internal/gang/attempt.go
+++ b/internal/gang/attempt.go
@@ -15,8 +15,12 @@
 	a     *Agent
 	job   carawayshift.Job
 	specs []carawayshift.TaskSpec
-	// leaseEnd is the latest time at which a task may still hold a lease.
+	// leaseEnd is the latest time at which a task may still hold a lease. It
+	// is not known for an attempt that was taken over until the epoch of this
+	// host's lease was announced.
 	leaseEnd time.Time
+	mu       sync.Mutex
+	adopted  bool
 	// renewed is when all members last had their leases extended.
 	renewed time.Time
 	log     logrus.FieldLogger
@@ -38,7 +42,7 @@
 // launch prepares and starts the gang. It returns false when the attempt has
 // ended or another host manages it.
 func (at *attempt) launch(ctx context.Context) bool {
-	at.leaseEnd = time.Now().Add(reservationLease + firstLease)
+	at.extend(time.Now().Add(reservationLease + firstLease))
 	if err := at.each(ctx, callTimeout, at.prepare); err != nil {
 		at.giveUp(ctx, "prepare: "+err.Error())
 		return false
@@ -54,7 +58,7 @@
 		at.giveUp(ctx, "zone lease expired before the start")
 		return false
 	}
-	at.leaseEnd = time.Now().Add(reservationLease + firstLease + callTimeout)
+	at.extend(time.Now().Add(reservationLease + firstLease + callTimeout))
 	if err := at.each(ctx, callTimeout, at.start); err != nil {
 		at.giveUp(ctx, "start: "+err.Error())
 		return false
@@ -89,10 +93,9 @@
 	return valid
 }
 
-// adopt takes over an attempt that another host started. Its leases may have
-// been extended until the moment at which the epoch was confirmed.
+// adopt takes over an attempt that another host started.
 func (at *attempt) adopt(ctx context.Context) {
-	at.leaseEnd = time.Now().Add(taskLease + takeoverMargin)
+	at.adopted = true
 	at.renewed = time.Now()
 	at.log.WithField("state", at.job.State).Info("attempt taken over")
 	if at.job.State == carawayshift.JobRunning {
@@ -183,7 +186,7 @@
 	if !at.a.mayRenew(ctx) {
 		return carawayshift.NewError(carawayshift.Unavailable, "another host may hold the zone lease", "")
 	}
-	at.leaseEnd = until
+	at.extend(until)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	tasks := at.workerNames()
@@ -203,6 +206,36 @@
 	return first
 }
 
+// extend records that leases may run until a time.
+func (at *attempt) extend(until time.Time) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if until.After(at.leaseEnd) {
+		at.leaseEnd = until
+	}
+}
+
+// expired reports whether all leases of the attempt have expired, with the
+// allowed drift. The previous holder of an adopted attempt may extend leases
+// until this host's epoch was announced.
+func (at *attempt) expired(ctx context.Context) bool {
+	at.mu.Lock()
+	adopted := at.adopted
+	at.mu.Unlock()
+	if adopted && !at.a.announce(ctx) {
+		return false
+	}
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.adopted {
+		at.adopted = false
+		if end := time.Now().Add(taskLease + takeoverMargin); end.After(at.leaseEnd) {
+			at.leaseEnd = end
+		}
+	}
+	return time.Now().After(at.leaseEnd.Add(taskLease * driftPerMille / 1000))
+}
+
 func (at *attempt) renewWorker(ctx context.Context, name string, specs []carawayshift.TaskSpec, until time.Time) error {
 	w, err := at.worker(at.placementOn(name))
 	if err != nil {
--- a/internal/gang/doc.go
+++ b/internal/gang/doc.go
@@ -22,8 +22,9 @@
 // Starting needs the zone lease. Renewing does not, so that running work
 // outlives a partition between the zone and the leader. A host without the
 // lease renews only while a majority of the zone's hosts confirm that they
-// know no newer lease epoch, and a new holder announces its epoch to a
-// majority before it counts down the leases of workers that it can't reach.
+// know no newer lease epoch, and a new holder announces its epoch to half of
+// them before it counts down the leases of workers that it can't reach. So a
+// zone of two hosts goes on starting and stopping gangs with one of them.
 // Renewals carry an end on the worker's clock that is computed before these
 // checks, so one that is delayed by a freeze extends nothing.
 package gang
--- a/internal/gang/epoch.go
+++ b/internal/gang/epoch.go
@@ -26,30 +26,24 @@
 }
 
 // mayRenew reports whether this host may extend task leases: it holds the zone
-// lease and has announced its epoch, or it held it last and a majority of the
-// zone's hosts know no newer holder.
+// lease, or it held it last and a majority of the zone's hosts know no newer
+// holder.
 func (a *Agent) mayRenew(ctx context.Context) bool {
+	if _, valid := a.opts.Lease(); valid {
+		return true
+	}
 	a.mu.Lock()
 	fresh := time.Since(a.confirmed) < confirmValid
 	a.mu.Unlock()
 	return fresh || a.confirm(ctx)
 }
 
-// confirm announces the epoch of the last lease of this host to all hosts of
-// the zone, and reports whether a majority knows no newer one.
+// confirm reports whether a majority of the zone's hosts knows no lease newer
+// than the last one of this host.
 func (a *Agent) confirm(ctx context.Context) bool {
-	a.mu.Lock()
-	own, known := a.own, a.epoch
-	a.mu.Unlock()
-	if own == 0 || known > own {
-		return false
-	}
 	asked := time.Now()
-	body, err := carawayshift.Encode(epochMessage{Epoch: own})
-	if err != nil {
-		return false
-	}
-	if !a.askHosts(ctx, own, body) {
+	own, ok := a.ask(ctx, len(a.opts.Hosts)/2+1)
+	if !ok {
 		return false
 	}
 	a.mu.Lock()
@@ -61,7 +55,39 @@
 	return true
 }
 
-func (a *Agent) askHosts(ctx context.Context, own uint64, body []byte) bool {
+// announce reports whether half of the zone's hosts, this one included, know
+// the epoch of this host's lease. No earlier holder finds a majority that does
+// not know it then, so that none renews without the zone lease. Half is enough
+// for that, and lets a zone of two hosts go on with one.
+func (a *Agent) announce(ctx context.Context) bool {
+	a.mu.Lock()
+	done := a.announced == a.own && a.own > 0
+	a.mu.Unlock()
+	if done {
+		return true
+	}
+	own, ok := a.ask(ctx, (len(a.opts.Hosts)+1)/2)
+	if ok {
+		a.mu.Lock()
+		a.announced = max(a.announced, own)
+		a.mu.Unlock()
+	}
+	return ok
+}
+
+// ask tells the zone's hosts the epoch of this host's last lease and reports
+// whether at least need of them, this one included, know no newer one.
+func (a *Agent) ask(ctx context.Context, need int) (own uint64, ok bool) {
+	a.mu.Lock()
+	own, known := a.own, a.epoch
+	a.mu.Unlock()
+	if own == 0 || known > own {
+		return own, false
+	}
+	body, err := carawayshift.Encode(epochMessage{Epoch: own})
+	if err != nil {
+		return own, false
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	replies := make(chan bool, len(a.opts.Hosts))
@@ -73,11 +99,11 @@
 		if <-replies {
 			agreed++
 		}
-		if agreed > len(a.opts.Hosts)/2 {
-			return true
+		if agreed >= need {
+			return own, true
 		}
 	}
-	return false
+	return own, false
 }
 
 func (a *Agent) askHost(ctx context.Context, host string, own uint64, body []byte) bool {
--- a/internal/gang/supervise.go
+++ b/internal/gang/supervise.go
@@ -172,33 +172,29 @@
 	return least
 }
 
-// settle calls fn for each task until it succeeds or until the task's lease
-// has expired, with the allowed drift, so that no task runs afterwards.
+// settle calls fn for each task until it succeeds or until all leases have
+// expired, so that no task runs afterwards.
 func (at *attempt) settle(ctx context.Context, fn func(context.Context, int) error) {
-	end := at.leaseEnd
-	if left := time.Until(end); left > 0 {
-		end = end.Add(left * driftPerMille / 1000)
-	}
 	var wg sync.WaitGroup
 	for i := range at.specs {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			at.settleTask(ctx, i, end, fn)
+			at.settleTask(ctx, i, fn)
 		}()
 	}
 	wg.Wait()
 }
 
-func (at *attempt) settleTask(ctx context.Context, i int, end time.Time, fn func(context.Context, int) error) {
+func (at *attempt) settleTask(ctx context.Context, i int, fn func(context.Context, int) error) {
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		err := fn(c, i)
 		cancel()
-		if err == nil || !time.Now().Before(end) {
+		if err == nil || at.expired(ctx) {
 			return
 		}
-		sleep(ctx, min(retryInterval, time.Until(end)))
+		sleep(ctx, retryInterval)
 	}
 }
 
