--- /dev/null
+++ b/pkg/balance/balancer_test.go
@@ -0,0 +1,162 @@
+package balance
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+func fleet(n int) []carawayshift.Runner {
+	var out []carawayshift.Runner
+	for i := range n {
+		out = append(out, carawayshift.Runner{Name: fmt.Sprintf("r%02d", i), Service: "fit", Slots: 8, Seen: time.Now()})
+	}
+	return out
+}
+
+func of(runners *[]carawayshift.Runner) func(string) []carawayshift.Runner {
+	return func(string) []carawayshift.Runner { return *runners }
+}
+
+var errFailed = errors.New("failed")
+
+// Guards the division of slots: the parts of all hosts add up to the slots.
+func TestPartsAddUp(t *testing.T) {
+	g := NewWithT(t)
+	for hosts := 1; hosts <= 12; hosts++ {
+		for _, r := range fleet(20) {
+			sum := 0
+			for rank := range hosts {
+				sum += part(r, rank, hosts)
+			}
+			g.Expect(sum).To(Equal(r.Slots), "%s among %d hosts", r.Name, hosts)
+		}
+	}
+}
+
+// Guards lending: a host uses the idle slots of others, but not the busy ones.
+func TestLendsIdleSlots(t *testing.T) {
+	tests := []struct {
+		name   string
+		shared int
+		picks  int
+	}{
+		{"others are idle", 0, 8},
+		{"others hold 3", 3, 5},
+		{"others hold all", 8, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rs := fleet(1)
+			b := New(Config{
+				Runners: of(&rs), Seed: 1,
+				Shared: func(string) int { return tt.shared }, Share: func() (int, int) { return 0, 4 },
+			})
+			n := 0
+			for {
+				_, _, _, err := b.Pick("fit", nil)
+				if err != nil {
+					NewWithT(t).Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.Unavailable))
+					break
+				}
+				n++
+			}
+			NewWithT(t).Expect(n).To(Equal(tt.picks))
+		})
+	}
+}
+
+// Guards against a runner that fails at once and therefore looks idle.
+func TestFailingFastAttractsNoLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rs := fleet(10)
+		b := New(Config{Runners: of(&rs), Seed: 1, Keep: 1})
+		picks := 0
+		const total = 2000
+		for range total {
+			time.Sleep(2 * time.Millisecond)
+			r, done, _, err := b.Pick("fit", nil)
+			if err != nil {
+				continue
+			}
+			if r.Name == "r00" {
+				picks++
+				done(errFailed, 0)
+				continue
+			}
+			go func() {
+				time.Sleep(20 * time.Millisecond)
+				done(nil, 20*time.Millisecond)
+			}()
+		}
+		time.Sleep(time.Second)
+		t.Logf("failing runner got %.4f of the requests, its even part is 0.1", float64(picks)/total)
+		NewWithT(t).Expect(picks).To(BeNumerically("<", total/20))
+	})
+}
+
+// Guards ejection, the minimum kept, and the return after probes only.
+func TestEjectsAndProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rs := fleet(4)
+		b := New(Config{Runners: of(&rs), Seed: 1})
+		bad := map[string]bool{"r00": true, "r01": true, "r02": true}
+		drive := func(n int) {
+			for range n {
+				r, done, _, err := b.Pick("fit", nil)
+				if err == nil && bad[r.Name] {
+					done(errFailed, 0)
+				} else if err == nil {
+					done(nil, 20*time.Millisecond)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		drive(150)
+		g.Expect(b.Ejected("fit")).To(HaveLen(2), "half of the runners stay in use")
+		_, _, ok := b.Probe("fit", nil)
+		g.Expect(ok).To(BeFalse(), "no probe within the cooldown")
+		time.Sleep(time.Minute)
+		for range 2 * probes {
+			_, done, ok := b.Probe("fit", nil)
+			g.Expect(ok).To(BeTrue())
+			done(nil, 20*time.Millisecond)
+		}
+		g.Expect(b.Ejected("fit")).To(BeEmpty())
+	})
+}
+
+// Guards resets and neutral ends: a new incarnation starts with no history, a
+// caller that has gone is no failure, and a runner that can't be reached waits
+// for its next announcement.
+func TestHistoryOfRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rs := fleet(1)
+		b := New(Config{Runners: of(&rs), Seed: 1})
+		_, late, _, err := b.Pick("fit", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		rs[0].Incarnation = 2
+		_, done, _, err := b.Pick("fit", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		late(errFailed, 0)
+		g.Expect(b.Load()).To(Equal(map[string]int{"r00": 1}))
+		done(context.Canceled, 0)
+		g.Expect(b.targets["r00"].n).To(BeZero())
+
+		_, done, _, _ = b.Pick("fit", nil)
+		time.Sleep(time.Second)
+		done(carawayshift.NewError(carawayshift.NotRun, "refused", ""), 0)
+		g.Expect(b.Usable("fit", nil)).To(BeZero())
+		rs[0].Seen = time.Now().Add(time.Millisecond)
+		g.Expect(b.Usable("fit", nil)).To(Equal(1))
+	})
+}
--- /dev/null
+++ b/pkg/budget/budget_test.go
@@ -0,0 +1,43 @@
+package budget
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// Guards target (d): at no moment are there more retries than a tenth of the
+// first sends, and not more than the burst at once.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Config{})
+		first, retries, burst := 0, 0, 0
+		for _, deposit := range rapid.SliceOfN(rapid.Bool(), 0, 2000).Draw(t, "steps") {
+			switch {
+			case deposit:
+				b.Deposit()
+				first++
+				burst = 0
+			case b.Withdraw():
+				retries++
+				burst++
+			}
+			if retries*10 > first || burst > defaultBurst {
+				t.Fatalf("%d retries after %d first sends, %d in a row", retries, first, burst)
+			}
+		}
+	})
+}
+
+// Guards against rounding that loses every tenth retry.
+func TestTenDepositsGiveOneRetry(t *testing.T) {
+	g := NewWithT(t)
+	b := New(Config{})
+	for range 10 {
+		g.Expect(b.Withdraw()).To(BeFalse())
+		b.Deposit()
+	}
+	g.Expect(b.Withdraw()).To(BeTrue())
+	g.Expect(b.Withdraw()).To(BeFalse())
+}
--- /dev/null
+++ b/pkg/queue/queue_test.go
@@ -0,0 +1,112 @@
+package queue
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+// room is a number of free slots.
+type room struct{ free int }
+
+func (r *room) take() bool {
+	if r.free == 0 {
+		return false
+	}
+	r.free--
+	return true
+}
+
+// Guards the order: urgent requests first, then by arrival.
+func TestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(Config{})
+		r := &room{}
+		var mu sync.Mutex
+		var got []string
+		for i := range 6 {
+			urgent := i%2 == 1
+			go func() {
+				err := q.Wait(t.Context(), Entry{Service: "fit", Urgent: urgent, Deadline: time.Now().Add(time.Minute), Try: r.take})
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					got = append(got, fmt.Sprint(i))
+				}
+			}()
+			synctest.Wait()
+		}
+		for range 6 {
+			r.free++
+			q.Wake("fit")
+			synctest.Wait()
+		}
+		NewWithT(t).Expect(got).To(Equal([]string{"1", "3", "5", "0", "2", "4"}))
+	})
+}
+
+// Guards shedding: early when the queue is too long, at half of the deadline
+// when it does not move, and at once when the caller goes.
+func TestSheds(t *testing.T) {
+	tests := []struct {
+		name     string
+		mean     time.Duration
+		deadline time.Duration
+		gone     time.Duration
+		after    time.Duration
+		kind     carawayshift.Kind
+	}{
+		{"queue too long", time.Second, 900 * time.Millisecond, time.Hour, 0, carawayshift.NotRun},
+		{"queue does not move", 0, time.Second, time.Hour, 500 * time.Millisecond, carawayshift.NotRun},
+		{"caller goes", 0, time.Second, 100 * time.Millisecond, 100 * time.Millisecond, ""},
+		{"deadline has passed", 0, -time.Second, time.Hour, 0, carawayshift.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				q := New(Config{Expect: func(string) (time.Duration, float64) { return tt.mean, 1 }})
+				ctx, cancel := context.WithTimeout(t.Context(), tt.gone)
+				defer cancel()
+				start := time.Now()
+				err := q.Wait(ctx, Entry{Service: "fit", Deadline: start.Add(tt.deadline), Try: (&room{}).take})
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(carawayshift.KindOf(err)).To(Equal(tt.kind))
+				g.Expect(time.Since(start)).To(Equal(tt.after))
+				g.Expect(q.Len()).To(BeZero())
+			})
+		})
+	}
+}
+
+// Guards the limit: a full queue refuses, but an urgent request takes the place
+// of the newest overnight one.
+func TestFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		q := New(Config{Limit: 2})
+		ends := make(chan string, 4)
+		wait := func(name string, urgent bool) {
+			go func() {
+				err := q.Wait(t.Context(), Entry{Service: "fit", Urgent: urgent, Deadline: time.Now().Add(time.Minute), Try: (&room{}).take})
+				ends <- fmt.Sprint(name, " ", carawayshift.KindOf(err))
+			}()
+			synctest.Wait()
+		}
+		wait("first", false)
+		wait("second", false)
+		wait("third", false)
+		g.Expect(<-ends).To(Equal("third not run"))
+		wait("urgent", true)
+		g.Expect(<-ends).To(Equal("second not run"))
+		time.Sleep(time.Minute)
+		g.Expect(q.Len()).To(BeZero())
+	})
+}
