--- a/internal/terminal/shell.go
+++ b/internal/terminal/shell.go
@@ -20,6 +20,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -72,10 +73,12 @@
 	Remedy string            `json:"remedy"`
 }
 
-// Run sends one statement and prints the answer. The error is the refusal.
+// Run sends one statement and prints the answer, or why there is none. The
+// error is the refusal.
 func (s *Shell) Run(ctx context.Context, statement string) error {
 	body, err := s.send(ctx, statement)
 	if err != nil {
+		fmt.Fprintln(s.Out, err)
 		return err
 	}
 	var r reply
@@ -126,21 +129,14 @@
 		case "quit", "exit":
 			return nil
 		}
-		s.interactOne(ctx, line)
+		// Run has printed what went wrong.
+		_ = s.Run(ctx, line)
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "terminal.Interact")
 		}
 	}
 }
 
-// interactOne prints an error that no host has explained already.
-func (s *Shell) interactOne(ctx context.Context, line string) {
-	err := s.Run(ctx, line)
-	if err != nil && !errors.HasType(err, (*carawayshift.Error)(nil)) {
-		fmt.Fprintln(s.Out, err)
-	}
-}
-
 func scanner(r io.Reader) *bufio.Scanner {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(make([]byte, 0, 4096), maxLine)
@@ -154,51 +150,81 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "terminal.send")
 	}
-	last := errors.New("no entry host is given")
-	var unsure []byte
+	all := try{err: errors.New("no entry host is given")}
 	for round := range rounds {
 		if round > 0 && !sleep(ctx, pause) {
 			break
 		}
 		for i, host := range s.Hosts {
-			answer, final, err := s.post(ctx, host, body)
-			if err == nil && final {
+			t := s.post(ctx, host, body)
+			if t.final {
 				s.prefer(i)
-				return answer, nil
-			}
-			if err != nil {
-				last = err
-			} else {
-				unsure = answer
+				return t.answer, nil
 			}
+			all = all.then(t)
 		}
 	}
-	if unsure != nil {
-		return unsure, nil
+	return all.result()
+}
+
+// try is the result of one or more tries.
+type try struct {
+	answer []byte
+	// final is true when no other host can give a better answer.
+	final bool
+	// doubt is true when the command may have been accepted.
+	doubt bool
+	err   error
+}
+
+// then joins the results of an earlier and a later try. A doubt stays: a
+// later host that says "not run" speaks for its own try only.
+func (t try) then(next try) try {
+	next.doubt = next.doubt || t.doubt
+	if next.answer == nil {
+		next.answer = t.answer
+	}
+	return next
+}
+
+func (t try) result() ([]byte, error) {
+	if t.doubt {
+		return nil, carawayshift.NewError(carawayshift.OutcomeUnknown,
+			"no entry host gave a final answer, and the command may have been accepted",
+			"look at the state with show before you type the command again")
+	}
+	if t.answer != nil {
+		return t.answer, nil
 	}
-	return nil, errors.Wrap(last, "no entry host answers; the command may have been accepted")
+	return nil, carawayshift.NewError(carawayshift.NotRun, "no entry host can be reached: "+t.err.Error(), "check the addresses of the entry hosts")
 }
 
-// post sends the body to one host. The answer is not final when another host
-// may give a better one.
-func (s *Shell) post(ctx context.Context, host string, body []byte) (answer []byte, final bool, err error) {
+// post sends the body to one host.
+func (s *Shell) post(ctx context.Context, host string, body []byte) try {
 	ctx, cancel := context.WithTimeout(ctx, attemptTime)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, strings.TrimRight(host, "/")+"/v1/statements", bytes.NewReader(body))
 	if err != nil {
-		return nil, false, errors.Wrap(err, "terminal.post")
+		return try{err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	res, err := s.client().Do(req)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "terminal.post")
+		return try{err: err, doubt: !notSent(err)}
 	}
 	defer res.Body.Close()
-	answer, err = io.ReadAll(io.LimitReader(res.Body, maxReply))
-	if err == nil && !json.Valid(answer) {
-		err = errors.Newf("%s sent no valid answer: %s", host, res.Status)
+	answer, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	if err != nil || !json.Valid(answer) {
+		return try{err: errors.Newf("%s sent no valid answer: %s", host, res.Status), doubt: true}
 	}
-	return answer, !repeatable(res.StatusCode), errors.Wrap(err, "terminal.post")
+	doubt := res.StatusCode == http.StatusGatewayTimeout || res.StatusCode == http.StatusBadGateway
+	return try{answer: answer, final: !repeatable(res.StatusCode), doubt: doubt}
+}
+
+// notSent reports whether the request provably did not leave this machine.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 // repeatable reports whether another host may give a better answer.
