Make the widest cell of the table test multi-byte

Cause: with widths counted in bytes, TestText passed, because no wide cell had multi-byte letters.

Change: it has one now and fails with widths in bytes.

--- a/internal/report/table_test.go
+++ b/internal/report/table_test.go
@@ -17,7 +17,7 @@
 		Columns: []string{"id", "name", "due", "run", "by"},
 		Shown:   4,
 		Rows: [][]any{
-			{41, "café", at, 2 * time.Hour, "ines"},
+			{41, "café crème brûlée", at, 2 * time.Hour, "ines"},
 			{uint64(7), "two\nlines\x1b[2J", time.Time{}, 90 * time.Second, ""},
 		},
 	}
@@ -27,9 +27,9 @@
 // breaks a line or changes the operator's terminal.
 func TestText(t *testing.T) {
 	NewWithT(t).Expect(sample().Text()).To(Equal(
-		"id  name           due                   run\n" +
-			"41  café           2026-12-04 06:00:00Z  2h\n" +
-			"7   two lines [2J  -                     1m30s\n",
+		"id  name               due                   run\n" +
+			"41  café crème brûlée  2026-12-04 06:00:00Z  2h\n" +
+			"7   two lines [2J      -                     1m30s\n",
 	))
 }
 
@@ -38,7 +38,7 @@
 	g := NewWithT(t)
 	b, err := json.Marshal(sample())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(b)).To(Equal(`[{"id":41,"name":"café","due":"2026-12-04T06:00:00Z","run":"2h","by":"ines"},` +
+	g.Expect(string(b)).To(Equal(`[{"id":41,"name":"café crème brûlée","due":"2026-12-04T06:00:00Z","run":"2h","by":"ines"},` +
 		`{"id":7,"name":"two\nlines\u001b[2J","due":null,"run":"1m30s","by":""}]`))
 	_, err = json.Marshal(Table{Columns: []string{"ratio"}, Rows: [][]any{{math.NaN()}}})
 	g.Expect(err).To(HaveOccurred())
