Refuse entries that can't be encoded again; recognise resends in the handler

Answer.Repeated does not travel in CBOR, so a repeated answer was not marked unless the log set it.

Change: Apply answers Malformed for a command that does not encode. The handler compares the answer's index with the applied index before it proposed: a lower one is the stored answer to an earlier entry. Machine.Version costs no clone.

Ruled out: a read barrier before each command to recognise resends, which costs a round trip.

--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -21,6 +21,8 @@
 	forceTime = 2 * time.Second
 	forcePoll = 50 * time.Millisecond
 	silentAge = 3 * time.Second
+	// neverHeard is an age above the life of any process.
+	neverHeard = 50 * 365 * 24 * time.Hour
 )
 
 // command proposes the command of a statement and reports its answer.
@@ -68,7 +70,11 @@
 func (h *Handler) propose(ctx context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTime)
 	defer cancel()
+	before := h.cfg.State().Index
 	a, err := h.cfg.Log.Propose(ctx, c)
+	// The stored answer to a resend has the index of its first entry, and a
+	// new entry's index is above all that are applied.
+	a.Repeated = a.Repeated || err == nil && a.Index <= before
 	if err != nil && carawayshift.KindOf(err) == "" {
 		return a, carawayshift.NewError(carawayshift.OutcomeUnknown, err.Error(), "resend with the same id")
 	}
@@ -177,10 +183,18 @@
 	r.Text += fmt.Sprintf("in force on %d of %d hosts\n", r.InForce, r.Hosts)
 	for _, m := range missing {
 		r.Missing = append(r.Missing, m.Name)
-		r.Text += fmt.Sprintf("missing: %s at version %d, last heard of %s\n", m.Name, m.Version, report.Cell(time.Now().Add(-m.Age)))
+		r.Text += fmt.Sprintf("missing: %s at version %d, last heard of %s\n", m.Name, m.Version, lastHeard(m))
 	}
 }
 
+// lastHeard returns when the host reported its version.
+func lastHeard(host HostVersion) string {
+	if host.Age > neverHeard {
+		return "never"
+	}
+	return report.Cell(time.Now().Add(-host.Age))
+}
+
 func heard(host HostVersion) bool { return host.Age < silentAge }
 
 func (h *Handler) missing(ctx context.Context, version uint64) (all int, missing []HostVersion) {
--- a/internal/operator/query.go
+++ b/internal/operator/query.go
@@ -77,7 +77,7 @@
 // markAge says that the leader did not confirm the state.
 func (a *reply) markAge(age time.Duration) {
 	a.AgeSeconds = age.Seconds()
-	a.Text = fmt.Sprintf("No leader confirms this state; it was current %s ago.\n", age.Round(time.Second)) + a.Text
+	a.Text = fmt.Sprintf("No leader confirms this state; it was last confirmed %s ago.\n", age.Round(time.Second)) + a.Text
 }
 
 // view is the state and the surroundings that one query reads.
--- a/internal/operator/rig_test.go
+++ b/internal/operator/rig_test.go
@@ -27,7 +27,7 @@
 	// lose drops the next answer after the command was applied, cut refuses
 	// everything as if no leader could be reached.
 	lose, cut bool
-	kinds     []carawayshift.CommandKind
+	loseEvery uint64
 }
 
 func (l *fakeLog) Propose(_ context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
@@ -41,11 +41,9 @@
 		return carawayshift.Answer{}, err
 	}
 	l.index++
-	l.kinds = append(l.kinds, c.Kind)
 	var a carawayshift.Answer
 	err = carawayshift.Decode(l.machine.Apply(l.index, entry), &a)
-	a.Repeated = a.Index < l.index
-	if l.lose {
+	if l.lose || l.loseEvery > 0 && l.index%l.loseEvery == 0 {
 		l.lose = false
 		return carawayshift.Answer{}, carawayshift.NewError(carawayshift.OutcomeUnknown, "the connection closed", "resend with the same id")
 	}
@@ -182,7 +180,7 @@
 		if ok {
 			host.Age = time.Since(s.since[name])
 		} else {
-			host = HostVersion{Name: name, Version: s.machine.State().Version}
+			host = HostVersion{Name: name, Version: s.machine.Version()}
 		}
 		hosts = append(hosts, host)
 	}
--- a/internal/operator/rows.go
+++ b/internal/operator/rows.go
@@ -197,6 +197,9 @@
 		if host.Version < v.Version {
 			condition = "behind"
 		}
+		if host.Age > neverHeard {
+			host.Age = 0
+		}
 		rows = append(rows, []any{host.Name, host.Version, condition, host.Age, v.notes("host " + host.Name)})
 	}
 	return rows
--- a/internal/operator/session_test.go
+++ b/internal/operator/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/statement"
+	"carawayshift.example/carawayshift/internal/terminal"
 )
 
 // Guards against a change of what operators read on an ordinary night.
@@ -69,6 +71,9 @@
 		s.as("jules", "return zone belmont")
 		s.schedule()
 		s.as("jules", "show zone belmont")
+		s.frozen["e2"] = HostVersion{Name: "e2"}
+		s.say("e2 was never heard of")
+		s.as("jules", `note on host e2 "new, not yet installed"`)
 		s.as("jules", "show hosts where state = behind")
 	})
 }
@@ -221,6 +226,35 @@
 	})
 }
 
+// Guards against a command that is lost or applied twice when many operators
+// type at the same time and every third answer is lost.
+func TestConcurrentResends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSession()
+		s.prepare()
+		s.log.loseEvery = 3
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				sh := terminal.Shell{Hosts: []string{"http://e1", "http://e2"}, Operator: fmt.Sprint("op", i), Out: io.Discard, Client: &http.Client{Transport: s}}
+				for n := range 10 {
+					g.Expect(sh.Run(t.Context(), fmt.Sprintf("create job j%d-%d team carnival tasks 1 accelerators 1", i, n))).To(Succeed())
+				}
+			})
+		}
+		wg.Wait()
+		st := s.machine.State()
+		g.Expect(st.Version).To(Equal(uint64(5 + 80)))
+		names := map[string]bool{}
+		for _, j := range st.Jobs {
+			names[j.Name] = true
+		}
+		g.Expect(st.Jobs).To(HaveLen(80))
+		g.Expect(names).To(HaveLen(80))
+	})
+}
+
 // Guards against two winners when many operators send commands for the same
 // version at the same time, and against versions that do not count them.
 func TestConcurrentVersionRace(t *testing.T) {
--- a/internal/state/check.go
+++ b/internal/state/check.go
@@ -23,6 +23,15 @@
 	maxCell = 1 << 20
 )
 
+// clip shortens a reason to maxValue bytes: it may hold the output of a failed
+// task, and the state keeps it for every job.
+func clip(text string) string {
+	if len(text) <= maxValue {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxValue], "")
+}
+
 const configObjective = "objective"
 
 func malformed(text, remedy string) error {
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -78,8 +78,12 @@
 	zones, teams, jobs, quarantine, config bool
 }
 
-// New returns an empty machine. Check is called for CreateTeam and SetTeam.
+// New returns an empty machine. Check is called for CreateTeam and SetTeam;
+// nil accepts every guarantee.
 func New(check GuaranteeCheck) *Machine {
+	if check == nil {
+		check = func(carawayshift.View) error { return nil }
+	}
 	m := &Machine{check: check, applied: make(chan struct{})}
 	m.load(snapshot{})
 	return m
@@ -113,6 +117,14 @@
 	return s
 }
 
+// Version returns the configuration version. Unlike State it never makes the
+// next change clone a map, so that it can be asked often.
+func (m *Machine) Version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.s.Version
+}
+
 // Wait returns once the entry at index has been applied, or with the
 // context's error.
 func (m *Machine) Wait(ctx context.Context, index uint64) error {
@@ -133,7 +145,7 @@
 
 func (m *Machine) apply(index uint64, entry []byte) carawayshift.Answer {
 	var c carawayshift.Command
-	if err := carawayshift.Decode(entry, &c); err != nil {
+	if err := decode(entry, &c); err != nil {
 		return m.refusal(index, c.ID, malformed("the entry is not a command", "upgrade this host"))
 	}
 	if fn, ok := operatorKinds[c.Kind]; ok {
@@ -146,6 +158,17 @@
 	return m.applyScheduler(index, &c, fn)
 }
 
+// decode reads a command that can be encoded again. A time in the form of
+// seconds since 1970 can lie beyond the year 9999: stored, it would make every
+// later snapshot fail.
+func decode(entry []byte, c *carawayshift.Command) error {
+	if err := carawayshift.Decode(entry, c); err != nil {
+		return err
+	}
+	_, err := carawayshift.Encode(c)
+	return err
+}
+
 // applyOperator answers a resend from the stored answers, and stores the
 // answer of a new command, also when it is refused.
 func (m *Machine) applyOperator(index uint64, c *carawayshift.Command, fn applyFunc) carawayshift.Answer {
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -269,6 +270,41 @@
 	}
 }
 
+// Guards against an entry that can be read but makes every later snapshot
+// fail, and against input that stops the machine.
+func TestDamagedEntries(t *testing.T) {
+	tests := []struct {
+		name string
+		give any
+	}{
+		{"empty", nil},
+		{"no map", 7},
+		{"year above 9999", map[int]any{2: "quarantine worker", 5: start.Format(time.RFC3339), 12: "w1", 14: int64(1) << 40}},
+		{"job that is no map", map[int]any{1: "x", 2: "create job", 5: start.Format(time.RFC3339), 9: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := filled()
+			entry, err := carawayshift.Encode(tt.give)
+			g.Expect(err).NotTo(HaveOccurred())
+			var a carawayshift.Answer
+			g.Expect(carawayshift.Decode(m.Apply(4, entry), &a)).To(Succeed())
+			g.Expect(a.Kind).To(Equal(carawayshift.Malformed))
+			g.Expect(restored(g, m).State()).To(Equal(m.State()))
+		})
+	}
+}
+
+// Guards against the output of a failed task that fills the state.
+func TestLongReasonIsClipped(t *testing.T) {
+	g := NewWithT(t)
+	m := filled()
+	do(m, place(1))
+	do(m, change(carawayshift.FailJob, carawayshift.JobChange{Attempt: 1, Reason: strings.Repeat("é", 2*maxValue)}))
+	g.Expect(m.State().Jobs[1].Reason).To(Equal(strings.Repeat("é", maxValue/2)))
+}
+
 // Guards against a reader's copy that changes under it, and a read that
 // returns before its index is applied.
 func TestStateAndWait(t *testing.T) {
--- a/internal/state/schedulerjobs.go
+++ b/internal/state/schedulerjobs.go
@@ -51,7 +51,7 @@
 	}
 	j.State, j.Attempt = carawayshift.JobPlaced, c.Change.Attempt
 	j.Zone, j.Placements = c.Change.Zone, c.Change.Placements
-	j.Borrowed, j.Reason = c.Change.Borrowed, c.Change.Reason
+	j.Borrowed, j.Reason = c.Change.Borrowed, clip(c.Change.Reason)
 	j.Started = time.Time{}
 	m.put(j)
 	return nil
@@ -87,7 +87,7 @@
 	if !slices.Contains(restStates, to) {
 		return malformed("a job can't stop to "+string(to), "use waiting, held, cancelled or parked")
 	}
-	m.put(stopping(j, to, c.Change.Reason))
+	m.put(stopping(j, to, clip(c.Change.Reason)))
 	return nil
 }
 
@@ -103,8 +103,8 @@
 		to = carawayshift.JobWaiting
 	}
 	why := j.Reason
-	if c.Change.Reason != "" && why == "" {
-		why = c.Change.Reason
+	if why == "" {
+		why = clip(c.Change.Reason)
 	}
 	m.put(settle(j, to, c.At, why))
 	return nil
@@ -118,7 +118,7 @@
 		return err
 	}
 	m.observe(j, c.At)
-	m.put(settle(j, carawayshift.JobFinished, c.At, c.Change.Reason))
+	m.put(settle(j, carawayshift.JobFinished, c.At, clip(c.Change.Reason)))
 	return nil
 }
 
@@ -148,13 +148,13 @@
 	}
 	j.Checkpoint = max(j.Checkpoint, c.Change.Checkpoint)
 	j.Failures++
-	if c.Change.Worker != "" {
+	if validName(c.Change.Worker) {
 		j.FailedOn = append(slices.Clone(j.FailedOn), c.Change.Worker)
 	}
-	to, why := carawayshift.JobWaiting, c.Change.Reason
+	to, why := carawayshift.JobWaiting, clip(c.Change.Reason)
 	if j.Failures >= carawayshift.MaxFailures {
 		to = carawayshift.JobParked
-		why = fmt.Sprintf("failed %d times: %s", j.Failures, c.Change.Reason)
+		why = fmt.Sprintf("failed %d times: %s", j.Failures, why)
 	}
 	if j.StopTo == carawayshift.JobCancelled || j.StopTo == carawayshift.JobHeld {
 		to, why = j.StopTo, j.Reason
@@ -168,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	m.put(settle(j, carawayshift.JobParked, c.At, c.Change.Reason))
+	m.put(settle(j, carawayshift.JobParked, c.At, clip(c.Change.Reason)))
 	return nil
 }
 
