--- /dev/null
+++ b/internal/server/control.go
@@ -0,0 +1,190 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/host"
+	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/pkg/follower"
+	"carawayshift.example/carawayshift/pkg/journal"
+	"carawayshift.example/carawayshift/pkg/lease"
+	"carawayshift.example/carawayshift/pkg/replica"
+)
+
+const (
+	// epochBits is the part of a lease's number that counts within a term.
+	epochBits = 32
+	// handOverTimeout bounds each step of handing over at a graceful stop.
+	handOverTimeout = 2 * time.Second
+)
+
+// control is the host's copy of the replicated state with its log. On control
+// hosts the copy is a replica's, on others a follower's.
+type control struct {
+	carawayshift.Log
+	machine *state.Machine
+	// replica is nil on hosts without [control].
+	replica *replica.Replica
+	// follower keeps the copy on hosts without [control], and serves such
+	// hosts on the others.
+	follower *follower.Follower
+}
+
+func newControl(o Options, m *state.Machine, mesh *host.Mesh) (*control, func(), error) {
+	if o.Settings.Control.Data == "" {
+		f := follower.New(follower.Config{
+			Host: o.Settings.Host.Name, Machine: m, Transport: mesh, Voters: o.nearVoters,
+			Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+		})
+		return &control{Log: f, machine: m, follower: f}, func() {}, nil
+	}
+	j, err := journal.Open(o.Settings.Control.Data)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "server.newControl")
+	}
+	r, err := replica.New(replica.Config{
+		Host: o.Settings.Host.Name, Voters: o.Settings.Control.Voters, Logger: o.Log,
+	}, j, m, mesh)
+	if err != nil {
+		_ = j.Close()
+		return nil, nil, errors.Wrap(err, "server.newControl")
+	}
+	f := follower.New(follower.Config{
+		Host: o.Settings.Host.Name, Transport: mesh, Source: source{r}, Log: r, Voters: o.nearVoters,
+		Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+	})
+	return &control{Log: r, machine: m, replica: r, follower: f}, func() { _ = j.Close() }, nil
+}
+
+func liveMembers(mesh *host.Mesh) []string {
+	var names []string
+	for _, m := range mesh.Members() {
+		if m.State == host.Alive {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// source lets followers read a replica's entries. Entries of the replica
+// itself are passed on empty, so that the indices of all hosts agree.
+type source struct{ r *replica.Replica }
+
+func (s source) Entries(from uint64, limit int) (entries [][]byte, ok bool) {
+	list, err := s.r.Entries(from, limit)
+	if carawayshift.KindOf(err) == carawayshift.NotFound {
+		return nil, false
+	}
+	for _, e := range list {
+		data := e.Data
+		if e.Kind != replica.KindCommand {
+			data = nil
+		}
+		entries = append(entries, data)
+	}
+	return entries, true
+}
+
+func (s source) Snapshot() (index uint64, data []byte) {
+	index, data, err := s.r.Snapshot()
+	if err != nil {
+		return 0, nil
+	}
+	return index, data
+}
+
+func (s source) Wait(ctx context.Context, index uint64) error { return s.r.WaitApplied(ctx, index) }
+
+func (s source) Commit() uint64 {
+	applied, _ := s.r.Watch()
+	return applied
+}
+
+func (c *control) run(ctx context.Context) error {
+	if c.replica == nil {
+		c.follower.Run(ctx)
+		return nil
+	}
+	go c.follower.Run(ctx)
+	return c.replica.Run(ctx)
+}
+
+// wait returns when the entry at index has been applied here. The machine's
+// own index does not count entries of the replica, such as term starts.
+func (c *control) wait(ctx context.Context, index uint64) error {
+	if c.replica != nil {
+		return c.replica.WaitApplied(ctx, index)
+	}
+	return c.follower.WaitApplied(ctx, index)
+}
+
+// confirmLeader returns the term of this host's leadership once a majority has
+// confirmed it and every entry committed before is applied here.
+func (c *control) confirmLeader(ctx context.Context, name string) (uint64, error) {
+	leader, term := c.Leader()
+	if leader != name {
+		return 0, carawayshift.NewError(carawayshift.NotRun, name+" is not the leader", "ask "+leader)
+	}
+	index, err := c.Barrier(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if err := c.wait(ctx, index); err != nil {
+		return 0, err
+	}
+	leader, now := c.Leader()
+	if leader != name || now != term {
+		return 0, carawayshift.NewError(carawayshift.NotRun, name+" is no longer the leader", "ask "+leader)
+	}
+	return term, nil
+}
+
+func (c *control) leader() string {
+	name, _ := c.Leader()
+	return name
+}
+
+// zoneIn reports whether the applied state has the zone in service.
+func (c *control) zoneIn(zone string) bool {
+	z, ok := c.machine.State().Zones[zone]
+	return ok && !z.Out
+}
+
+// handOver passes the leadership on before a graceful stop.
+func (c *control) handOver(ctx context.Context, name string, log logrus.FieldLogger) {
+	if c.replica == nil || c.leader() != name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for _, m := range c.replica.Status().Members {
+		if m.Host == name || !m.Voter {
+			continue
+		}
+		if err := c.replica.Transfer(ctx, m.Host); err == nil {
+			log.WithField("to", m.Host).Info("leadership handed over")
+			return
+		}
+	}
+	log.Warn("leadership not handed over, an election follows")
+}
+
+func newLeases(o Options, c *control, mesh *host.Mesh) *lease.Table {
+	name := o.Settings.Host.Name
+	return lease.New(lease.Config{
+		Host: name, Zone: o.Settings.Host.Zone, Transport: mesh, Leader: c.Leader,
+		Confirm: func(ctx context.Context) (uint64, error) { return c.confirmLeader(ctx, name) },
+		In:      c.zoneIn, Candidates: o.zoneHosts, Log: o.Log,
+	})
+}
+
+// leaseNumber returns the zone lease as one rising number.
+func leaseNumber(t *lease.Table) (uint64, bool) {
+	l, ok := t.Valid()
+	return l.Term<<epochBits | l.Epoch, ok
+}
