follower: require every live peer to be ready for the floor

Ruled out: one ready peer as enough, which was the fault. Change: all live peers must be ready, or the leader names the floor; two hosts that restart at once in a zone that is cut off wait for the leader.

--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -185,6 +185,35 @@
 	return w.voters["v1"].Progress()
 }
 
+// Guards against a zone that stays with a relay which is cut off from the
+// voters, and against a relay that does not pull from its zone then.
+func TestPassesOverRelayThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(1)
+		zone := names("b", 3)
+		var hosts []*host
+		for _, n := range zone {
+			hosts = append(hosts, w.start(n, zone))
+			defer hosts[len(hosts)-1].stop()
+		}
+		time.Sleep(30 * time.Second)
+		w.set(w.cut, "b1>v1", true)
+		w.set(w.cut, "b1>v2", true)
+		began := time.Now()
+		last := w.commit(0)
+		for _, h := range hosts {
+			g.Expect(h.WaitApplied(t.Context(), last)).To(Succeed())
+		}
+		t.Log("applied on 3 hosts after", time.Since(began))
+		g.Expect(time.Since(began)).To(BeNumerically("<", 30*time.Second))
+		time.Sleep(time.Minute)
+		for _, h := range hosts {
+			g.Expect(h.Age()).To(BeNumerically("<", maxAge), h.cfg.Host)
+		}
+	})
+}
+
 // Guards against answers that lose a field on the way, and against a copy
 // that claims to be fresh while its voters know no leader.
 func TestForwardsToVoters(t *testing.T) {
--- a/pkg/follower/ready.go
+++ b/pkg/follower/ready.go
@@ -28,7 +28,7 @@
 	case f.broken:
 		return carawayshift.NewError(carawayshift.Unavailable, "the last snapshot could not be restored", "run the same release on all hosts")
 	case !f.checked:
-		return carawayshift.NewError(carawayshift.Unavailable, "neither the leader nor a ready host of the zone was reached since the start", "wait, or check the links of this host")
+		return carawayshift.NewError(carawayshift.Unavailable, "neither the leader nor all live hosts of the zone named the floor since the start", "wait, or check the links of this host")
 	case f.applied < f.floor:
 		return carawayshift.NewError(carawayshift.Unavailable, "the copy is older than one that was shown by a peer", "wait until it has caught up")
 	}
@@ -37,8 +37,10 @@
 
 // findFloor asks until the floor is known. Either the leader names it, since
 // nothing newer than its commit index was ever shown; or, while no leader can
-// be reached, every live host of the zone does, of which at least one is
-// ready. A host of the zone that is down can't be asked.
+// be reached, every live host of the zone does, and each is ready. A host that
+// is not ready may have shown more before its own restart. Two hosts that
+// restart at once while the zone is cut off therefore both wait for the leader.
+// A host of the zone that is down can't be asked.
 func (f *Follower) findFloor(ctx context.Context) {
 	for {
 		if index, err := f.boundedBarrier(ctx); err == nil {
@@ -61,19 +63,18 @@
 }
 
 func (f *Follower) askPeers(ctx context.Context) bool {
-	ready := false
-	for _, host := range f.cfg.Members() {
+	peers := f.cfg.Members()
+	for _, host := range peers {
 		var r floorReply
-		if err := f.call(ctx, callWait, host, methodFloor, floorReply{}, &r); err != nil {
+		if err := f.call(ctx, callWait, host, methodFloor, floorReply{}, &r); err != nil || !r.Ready {
 			return false
 		}
 		f.setFloor(r.Index, false)
-		ready = ready || r.Ready
 	}
-	if ready {
+	if len(peers) > 0 {
 		f.setFloor(0, true)
 	}
-	return ready
+	return len(peers) > 0
 }
 
 func (f *Follower) setFloor(index uint64, checked bool) {
