follower: pass over failing sources for longer each time

A relay that was cut off from both voters tried them in turns: the fixed time of 5 s was over for the first when the second had failed, so that the zone's other hosts were never asked and the age of its copy reached 60 s. Ruled out: a longer fixed time, which also delays the return to a good relay. Change: the time doubles from 2 s to 60 s with each failure in a row. A pull waits 5.5 s instead of 7 s.

--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -42,9 +42,14 @@
 	// the hosts behind it.
 	pollWait = 4 * time.Second
 	callWait = 3 * time.Second
-	// A source whose copy is older than maxAge is passed over for skipFor.
+	// pullSlack is what a pull may take on top of its wait: a batch of 512 KB
+	// takes 0.15 s on an idle link of 30 Mbit/s.
+	pullSlack = 1500 * time.Millisecond
+	// A source that fails, or whose copy is older than maxAge, is passed over
+	// for skipMin, and longer after each further failure in a row.
 	maxAge  = 3 * pollWait
-	skipFor = 5 * time.Second
+	skipMin = 2 * time.Second
+	skipMax = time.Minute
 
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
@@ -128,7 +133,7 @@
 	buffer  [][]byte
 	size    int
 	changed chan struct{}
-	skip    map[string]time.Time
+	skip    map[string]passed
 	// progress maps hosts that pull here, or that reported here, to what
 	// they have applied.
 	progress map[string]Seen
@@ -144,7 +149,7 @@
 		cfg.Logger = logrus.StandardLogger()
 	}
 	f := &Follower{
-		cfg: cfg, changed: make(chan struct{}), skip: map[string]time.Time{},
+		cfg: cfg, changed: make(chan struct{}), skip: map[string]passed{},
 		progress: map[string]Seen{}, dirty: make(chan struct{}, 1),
 	}
 	cfg.Transport.Handle(methodPull, f.handlePull)
--- a/pkg/follower/pull.go
+++ b/pkg/follower/pull.go
@@ -39,10 +39,12 @@
 	for ctx.Err() == nil {
 		source, before, began := f.source(), f.Applied(), time.Now()
 		err := f.pull(ctx, source)
-		switch {
-		case err != nil:
+		if err != nil {
 			f.passOver(source)
-		case f.Applied() > before || time.Since(began) > retryMax:
+		} else {
+			f.succeeded(source)
+		}
+		if err == nil && (f.Applied() > before || time.Since(began) > retryMax) {
 			wait = retryMin
 			continue
 		}
@@ -64,11 +66,11 @@
 	defer f.mu.Unlock()
 	oldest := ""
 	for _, host := range order {
-		until := f.skip[host]
+		until := f.skip[host].until
 		if !time.Now().Before(until) {
 			return host
 		}
-		if oldest == "" || until.Before(f.skip[oldest]) {
+		if oldest == "" || until.Before(f.skip[oldest].until) {
 			oldest = host
 		}
 	}
@@ -93,10 +95,25 @@
 	return slices.Concat(near, hosts[:i], far, hosts[i+1:])
 }
 
+// passed says until when a source is passed over.
+type passed struct {
+	until    time.Time
+	failures int
+}
+
+// passOver doubles the time with each failure in a row. With a fixed time the
+// first source would be due again before the last one was ever tried.
 func (f *Follower) passOver(host string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.skip[host] = time.Now().Add(skipFor)
+	p := f.skip[host]
+	f.skip[host] = passed{until: time.Now().Add(min(skipMin<<p.failures, skipMax)), failures: min(p.failures+1, 8)}
+}
+
+func (f *Follower) succeeded(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.skip, host)
 }
 
 // pull makes one request and applies the answer.
@@ -112,7 +129,7 @@
 	}
 	var r pullReply
 	sent := time.Now()
-	if err := f.call(ctx, pollWait+callWait, source, methodPull, pullRequest{From: from}, &r); err != nil {
+	if err := f.call(ctx, pollWait+pullSlack, source, methodPull, pullRequest{From: from}, &r); err != nil {
 		return err
 	}
 	if r.Compacted {
