platform: serve health, readiness and metrics

Cause: the load balancer needs to know when a host is not ready or stops. Change: Handler with /healthz, /readyz (one reason on each line) and /metrics; Stop turns readiness off; a change of the reasons is logged once. Ruled out: 200 with a text for hosts that are not ready, since load balancers read the status only.

--- /dev/null
+++ b/internal/platform/handler.go
@@ -0,0 +1,140 @@
+// Package platform serves what the platform asks of a process: whether it
+// lives, whether it takes requests, and its metrics.
+//
+// # Usage
+//
+//	h := platform.New(platform.Config{Checks: []platform.Check{follower.Ready}, Metrics: []*metrics.Set{set}})
+//	mux.Handle("/healthz", h)
+//	mux.Handle("/readyz", h)
+//	mux.Handle("/metrics", h)
+//	...
+//	h.Stop("graceful stop") // readiness off, so that the load balancer moves on
+//
+// GET /healthz answers 200 while the process serves HTTP. GET /readyz answers
+// 200, or 503 with one reason on each line. GET /metrics answers in the
+// Prometheus text format.
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/negroni/v3"
+)
+
+// Check returns nil when a part is ready, and otherwise the reason. It must
+// not wait.
+type Check func() error
+
+// Config configures a Handler.
+type Config struct {
+	Checks []Check
+	// Metrics are written after the metrics of the process.
+	Metrics []*metrics.Set
+	Log     logrus.FieldLogger
+}
+
+// Handler serves /healthz, /readyz and /metrics.
+type Handler struct {
+	cfg   Config
+	serve http.Handler
+
+	mu       sync.Mutex
+	stopping string
+	// reasons is the last answer of /readyz, logged when it changes.
+	reasons string
+}
+
+// New returns a handler that is ready when all checks pass.
+func New(cfg Config) *Handler {
+	if cfg.Log == nil {
+		cfg.Log = logrus.StandardLogger()
+	}
+	h := &Handler{cfg: cfg}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", h.healthz)
+	mux.HandleFunc("GET /readyz", h.readyz)
+	mux.HandleFunc("GET /metrics", h.metrics)
+	// A fault in one check must not end the process that serves requests.
+	recovery := negroni.NewRecovery()
+	recovery.PrintStack = false
+	recovery.Logger = printer{cfg.Log}
+	h.serve = negroni.New(recovery, negroni.Wrap(mux))
+	return h
+}
+
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.serve.ServeHTTP(w, r)
+}
+
+// Stop turns readiness off for good, with a reason.
+func (h *Handler) Stop(reason string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = reason
+}
+
+func (h *Handler) healthz(w http.ResponseWriter, _ *http.Request) {
+	plain(w, http.StatusOK, "ok\n")
+}
+
+func (h *Handler) readyz(w http.ResponseWriter, _ *http.Request) {
+	reasons := strings.Join(h.notReady(), "\n")
+	h.logChange(reasons)
+	if reasons != "" {
+		plain(w, http.StatusServiceUnavailable, reasons+"\n")
+		return
+	}
+	plain(w, http.StatusOK, "ready\n")
+}
+
+func (h *Handler) notReady() []string {
+	h.mu.Lock()
+	stopping := h.stopping
+	h.mu.Unlock()
+	var out []string
+	if stopping != "" {
+		out = append(out, "stopping: "+stopping)
+	}
+	for _, check := range h.cfg.Checks {
+		if err := check(); err != nil {
+			out = append(out, strings.ReplaceAll(err.Error(), "\n", " "))
+		}
+	}
+	return out
+}
+
+func (h *Handler) logChange(reasons string) {
+	h.mu.Lock()
+	changed := h.reasons != reasons
+	h.reasons = reasons
+	h.mu.Unlock()
+	if changed {
+		h.cfg.Log.WithField("reasons", reasons).Info("readiness changed")
+	}
+}
+
+func (h *Handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	metrics.WritePrometheus(w, true)
+	for _, set := range h.cfg.Metrics {
+		set.WritePrometheus(w)
+	}
+}
+
+func plain(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	fmt.Fprint(w, text)
+}
+
+// printer gives negroni's messages to logrus.
+type printer struct{ log logrus.FieldLogger }
+
+func (p printer) Println(v ...any)               { p.log.Error(v...) }
+func (p printer) Printf(format string, v ...any) { p.log.Errorf(format, v...) }
