--- a/internal/host/members.go
+++ b/internal/host/members.go
@@ -184,6 +184,17 @@
 	return m.list(func(p *peer) bool { return p.Zone == m.cfg.Zone }, suspectAfter, missingAfter)
 }
 
+// Live lists the names of the zone's other hosts that are alive or suspect.
+func (m *Mesh) Live() []string {
+	var out []string
+	for _, v := range m.Members() {
+		if v.State == Alive || v.State == Suspect {
+			out = append(out, v.Name)
+		}
+	}
+	return out
+}
+
 // Remote lists the hosts of other zones by name. They are probed rarely, so
 // their state lags by up to two rounds of probes.
 func (m *Mesh) Remote() []Member {
--- a/pkg/follower/report.go
+++ b/pkg/follower/report.go
@@ -65,6 +65,10 @@
 		if !sleep(ctx, reportDelay) {
 			return
 		}
+		select {
+		case <-f.dirty: // what changed during the delay is in this report
+		default:
+		}
 		f.report(ctx)
 	}
 }
