--- a/internal/gang/agent.go
+++ b/internal/gang/agent.go
@@ -62,6 +62,8 @@
 	opts Options
 
 	mu sync.Mutex
+	// stopped is set by Stop.
+	stopped bool
 	// active has the attempts that a goroutine of this host manages.
 	active map[attemptKey]bool
 	// epoch is the highest lease epoch that this host knows; own is the
@@ -102,10 +104,27 @@
 	}
 }
 
+// Stop ends the starting of gangs on this host before it hands the zone lease
+// over. Running gangs are renewed until Run ends.
+func (a *Agent) Stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stopped = true
+}
+
+// mayStart returns the epoch of the zone lease and whether this host may start
+// tasks.
+func (a *Agent) mayStart() (epoch uint64, ok bool) {
+	epoch, valid := a.opts.Lease()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return epoch, valid && !a.stopped
+}
+
 // scan starts a goroutine for each attempt of the zone that has none.
 func (a *Agent) scan(ctx context.Context, wg *sync.WaitGroup) {
-	epoch, valid := a.opts.Lease()
-	if !valid {
+	epoch, ok := a.mayStart()
+	if !ok {
 		return
 	}
 	a.mu.Lock()
--- a/internal/gang/attempt.go
+++ b/internal/gang/attempt.go
@@ -89,8 +89,8 @@
 }
 
 func (at *attempt) leaseValid() bool {
-	_, valid := at.a.opts.Lease()
-	return valid
+	_, ok := at.a.mayStart()
+	return ok
 }
 
 // adopt takes over an attempt that another host started.
--- a/internal/gang/fake_test.go
+++ b/internal/gang/fake_test.go
@@ -36,8 +36,10 @@
 	drop   float64
 	cut    map[[2]string]bool
 	frozen map[string]time.Time
-	nodes  map[string]http.Handler
-	hosts  map[string]map[string]carawayshift.Handler
+	// trap sees each message towards a worker before it leaves; n.mu is held.
+	trap  func(from, path string)
+	nodes map[string]http.Handler
+	hosts map[string]map[string]carawayshift.Handler
 }
 
 func newNetwork(seed uint64) *network {
@@ -95,6 +97,11 @@
 	if err != nil {
 		return nil, err
 	}
+	l.n.mu.Lock()
+	if l.n.trap != nil {
+		l.n.trap(l.node, r.URL.Path)
+	}
+	l.n.mu.Unlock()
 	if !l.n.pass(r.Context(), l.node, to) {
 		return nil, r.Context().Err()
 	}
--- a/internal/gang/history_test.go
+++ b/internal/gang/history_test.go
@@ -47,6 +47,8 @@
 	ctx    context.Context
 	wg     sync.WaitGroup
 	drains []window
+	// avoid names a worker that gets no new placements.
+	avoid  string
 	logger logrus.FieldLogger
 }
 
@@ -140,7 +142,7 @@
 		ch := carawayshift.JobChange{ID: id, Attempt: j.Attempt + 1, Zone: "belmont"}
 		for i := range workerCount {
 			name := fmt.Sprintf("w%d", i)
-			if !busy[name] && len(ch.Placements) < j.Tasks {
+			if !busy[name] && name != b.avoid && len(ch.Placements) < j.Tasks {
 				ch.Placements = append(ch.Placements, carawayshift.TaskPlacement{
 					Task: len(ch.Placements), Worker: name, Incarnation: b.incarnation(name), Accelerators: 8,
 				})
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -14,6 +14,7 @@
 	"carawayshift.example/carawayshift/internal/gang"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/operator"
+	"carawayshift.example/carawayshift/internal/platform"
 	"carawayshift.example/carawayshift/internal/runner"
 	"carawayshift.example/carawayshift/internal/scheduler"
 	"carawayshift.example/carawayshift/internal/state"
@@ -115,6 +116,12 @@
 	})
 }
 
+func newPlatform(o Options, c *control, set *metrics.Set) *platform.Handler {
+	return platform.New(platform.Config{
+		Checks: []platform.Check{c.follower.Ready}, Metrics: []*metrics.Set{set}, Log: o.Log,
+	})
+}
+
 // versions asks the deployment's hosts for the version that is in force.
 type versions struct {
 	opts    Options
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,13 +8,13 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"carawayshift.example/carawayshift/internal/caller"
 	"carawayshift.example/carawayshift/internal/gang"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/operator"
+	"carawayshift.example/carawayshift/internal/platform"
 	"carawayshift.example/carawayshift/internal/runner"
 	"carawayshift.example/carawayshift/internal/scheduler"
 	"carawayshift.example/carawayshift/internal/worker"
@@ -34,7 +34,7 @@
 // Server is one host of the deployment.
 type Server struct {
 	opts      Options
-	metrics   *metrics.Set
+	platform  *platform.Handler
 	mesh      *host.Mesh
 	control   *control
 	leases    *lease.Table
@@ -46,9 +46,7 @@
 	caller    *caller.Handler
 	operator  *operator.Handler
 
-	mu       sync.Mutex
-	stopping bool
-	closers  func()
+	closers func()
 }
 
 // New joins the parts of one host. It opens the journal and the claims file
@@ -62,11 +60,11 @@
 	return s, nil
 }
 
-func assemble(o Options, set *metrics.Set, mesh *host.Mesh, c *control, t *lease.Table, w *worker.Client,
+func assemble(o Options, pl *platform.Handler, mesh *host.Mesh, c *control, t *lease.Table, w *worker.Client,
 	a *gang.Agent, s *scheduler.Scheduler, p *runner.Pool, r *claim.Registry, ch *caller.Handler, oh *operator.Handler,
 ) *Server {
 	return &Server{
-		opts: o, metrics: set, mesh: mesh, control: c, leases: t, workers: w,
+		opts: o, platform: pl, mesh: mesh, control: c, leases: t, workers: w,
 		agent: a, scheduler: s, pool: p, claims: r, caller: ch, operator: oh,
 	}
 }
@@ -132,10 +130,9 @@
 
 // stop is the graceful stop: no request that was taken is cut.
 func (s *Server) stop(ctx context.Context) {
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
+	s.platform.Stop("graceful stop")
 	s.opts.Log.Info("stopping: readiness is off")
+	s.agent.Stop()
 	time.Sleep(noticeTime)
 	drain, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
@@ -151,42 +148,24 @@
 	s.mesh.Leave(release)
 }
 
-// notReady returns the reasons for which the balancer should send no callers.
-func (s *Server) notReady() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var reasons []string
-	if s.stopping {
-		reasons = append(reasons, "stopping")
-	}
-	if err := s.control.follower.Ready(); err != nil {
-		reasons = append(reasons, err.Error())
-	}
-	return reasons
-}
-
 func (s *Server) publicMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/r/", s.caller)
 	mux.Handle("POST /v1/runners", s.pool)
 	mux.Handle("POST /v1/workers", s.workers)
-	s.platform(mux)
+	s.handlePlatform(mux)
 	return mux
 }
 
 func (s *Server) operatorMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/statements", s.operator)
-	s.platform(mux)
+	s.handlePlatform(mux)
 	return mux
 }
 
-func (s *Server) platform(mux *http.ServeMux) {
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if reasons := s.notReady(); len(reasons) > 0 {
-			http.Error(w, reasons[0], http.StatusServiceUnavailable)
-		}
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.WritePrometheus(w) })
+func (s *Server) handlePlatform(mux *http.ServeMux) {
+	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+		mux.Handle(path, s.platform)
+	}
 }
--- a/internal/server/wire.go
+++ b/internal/server/wire.go
@@ -8,7 +8,7 @@
 func build(o Options) (*Server, func(), error) {
 	wire.Build(
 		newMetrics, newPlanner, newMachine, newMesh, newControl, newLeases, newWorkers, newAgent, newScheduler,
-		newPool, newBalancer, newQueue, newClaims, newCaller, newOperator, newVersions, assemble,
+		newPool, newBalancer, newQueue, newClaims, newCaller, newOperator, newVersions, newPlatform, assemble,
 	)
 	return nil, nil, nil
 }
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -10,17 +10,18 @@
 
 // build is the injector of the parts of one host.
 func build(o Options) (*Server, func(), error) {
+	planner := newPlanner()
+	machine := newMachine(planner)
 	set := newMetrics()
 	mesh, err := newMesh(o, set)
 	if err != nil {
 		return nil, nil, err
 	}
-	planner := newPlanner()
-	machine := newMachine(planner)
 	serverControl, cleanup, err := newControl(o, machine, mesh)
 	if err != nil {
 		return nil, nil, err
 	}
+	handler := newPlatform(o, serverControl, set)
 	table := newLeases(o, serverControl, mesh)
 	client := newWorkers(o, serverControl, table, mesh)
 	agent := newAgent(o, serverControl, table, client, mesh)
@@ -33,14 +34,14 @@
 	}
 	balancer := newBalancer(pool)
 	queue := newQueue(o, balancer)
-	handler, err := newCaller(o, serverControl, pool, balancer, queue, registry, set)
+	callerHandler, err := newCaller(o, serverControl, pool, balancer, queue, registry, set)
 	if err != nil {
 		cleanup()
 		return nil, nil, err
 	}
 	serverVersions := newVersions(o, machine, mesh)
 	operatorHandler := newOperator(o, serverControl, client, pool, planner, serverVersions)
-	server := assemble(o, set, mesh, serverControl, table, client, agent, scheduler, pool, registry, handler, operatorHandler)
+	server := assemble(o, handler, mesh, serverControl, table, client, agent, scheduler, pool, registry, callerHandler, operatorHandler)
 	return server, func() {
 		cleanup()
 	}, nil
