Bound the log in memory by size; key acknowledged indexes by disk

Cause: 1024 kept entries of 250 KB would take 256 MB, the whole allowance of a node. What a lost disk had acknowledged was kept by host name, so that a late message of a lagging peer could make the leader refuse the host's new disk. Config.RestBytes sets the traffic at rest. Tests for a failed disk and for the bound.

--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -126,7 +126,25 @@
 		return err
 	}
 	r.noteSnapshot(index)
-	return r.journal.Compact(index - min(index, r.cfg.KeepEntries))
+	return r.journal.Compact(r.compactIndex(index))
+}
+
+// compactIndex is the last entry to drop after a snapshot at index. The kept
+// entries are held in memory, hence the limit on their size.
+func (r *Replica) compactIndex(index uint64) uint64 {
+	first := max(index-min(index, r.cfg.KeepEntries)+1, r.journal.First())
+	entries, err := r.journal.Entries(first, int(index-first)+1, maxInt)
+	if err != nil {
+		return index
+	}
+	var size int64
+	for i := len(entries) - 1; i >= 0; i-- {
+		size += int64(len(entries[i].Data))
+		if size > r.cfg.SnapshotBytes {
+			return entries[i].Index
+		}
+	}
+	return first - 1
 }
 
 func (r *Replica) noteSnapshot(index uint64) {
--- a/pkg/replica/election.go
+++ b/pkg/replica/election.go
@@ -176,7 +176,7 @@
 	if !reply.Granted {
 		return false
 	}
-	if reply.Identity != m.Identity || reply.LastIndex < r.acked[m.Host] {
+	if reply.Identity != m.Identity || reply.LastIndex < r.acked[m.Identity] {
 		r.log.WithField("peer", m.Host).Warn("vote refused: the peer's data folder is not the one of its membership entry, or older; remove the peer, empty its folder, add it again")
 		return false
 	}
@@ -253,7 +253,7 @@
 	if m, ok := find(r.members(), from); ok && m.Identity != req.Identity {
 		return false
 	}
-	if req.LastIndex < r.acked[from] {
+	if req.LastIndex < r.acked[req.Identity] {
 		return false
 	}
 	return req.LastTerm > lastTerm || (req.LastTerm == lastTerm && req.LastIndex >= last)
--- a/pkg/replica/history_test.go
+++ b/pkg/replica/history_test.go
@@ -244,6 +244,7 @@
 		g.net.noise(0, 0, time.Millisecond)
 		h.checkFinal(NewWithT(g.t), g.converge())
 	})
+	t.Logf("%d operations, %d changes answered", len(h.ops), len(h.answers))
 	result := porcupine.CheckOperationsTimeout(registerModel, h.ops, 20*time.Second)
 	NewWithT(t).Expect(result).To(Equal(porcupine.Ok), "%d operations", len(h.ops))
 }
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -17,9 +17,6 @@
 	// about 60 bytes of request and reply, and packet headers and
 	// acknowledgements of QUIC.
 	restCallBytes = 200
-	// restBudget is what the heartbeats of a host may use. It leaves a tenth
-	// of the 3 KB/s per host to others.
-	restBudget = 2700 // bytes per second
 )
 
 // leadership is the state of one term of this host as leader.
@@ -116,7 +113,7 @@
 // restInterval is the heartbeat interval, stretched with the number of peers
 // to keep the traffic at rest within its budget.
 func (r *Replica) restInterval(peers int) time.Duration {
-	d := time.Duration(peers) * time.Second * restCallBytes / restBudget
+	d := time.Duration(peers) * time.Second * restCallBytes / time.Duration(r.cfg.RestBytes)
 	return min(max(d, r.cfg.Heartbeat), r.cfg.ElectionTimeout/2)
 }
 
@@ -170,10 +167,10 @@
 		return
 	}
 	r.setCommit(index)
-	for host, p := range l.peers {
-		r.noteAcked(map[string]uint64{host: min(p.match, r.commit)})
+	for _, p := range l.peers {
+		r.noteAcked(map[uint64]uint64{p.identity: min(p.match, r.commit)})
 	}
-	r.noteAcked(map[string]uint64{r.cfg.Host: r.commit})
+	r.noteAcked(map[uint64]uint64{r.hard.Identity: r.commit})
 }
 
 // setCommit needs r.mu.
@@ -286,7 +283,7 @@
 	if p.refused {
 		return
 	}
-	if reply.Identity != p.identity || (!reply.OK && reply.Last < r.acked[p.host]) {
+	if reply.Identity != p.identity || (!reply.OK && reply.Last < r.acked[p.identity]) {
 		r.refuse(p)
 		return
 	}
@@ -294,7 +291,7 @@
 	if reply.OK {
 		p.match = max(p.match, reply.Index)
 		p.next = max(p.next, p.match+1)
-		r.noteAcked(map[string]uint64{p.host: min(p.match, r.commit)})
+		r.noteAcked(map[uint64]uint64{p.identity: min(p.match, r.commit)})
 		r.advanceCommit()
 	} else {
 		p.next = max(min(reply.Index+1, req.Prev), p.match+1, 1)
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 
 	"carawayshift.example/carawayshift"
@@ -89,11 +90,11 @@
 // forgetMissing drops what removed members had acknowledged: when one of them
 // is added again, it starts from nothing.
 func (r *Replica) forgetMissing(list []Member) {
-	for host := range r.acked {
-		if _, ok := find(list, host); !ok {
-			delete(r.acked, host)
-		}
-	}
+	maps.DeleteFunc(r.acked, func(identity, _ uint64) bool { return !holds(list, identity) })
+}
+
+func holds(list []Member, identity uint64) bool {
+	return slices.ContainsFunc(list, func(m Member) bool { return m.Identity == identity })
 }
 
 // configAt returns the membership as of an index. Configs before the last
@@ -114,11 +115,12 @@
 	}
 }
 
-// noteAcked remembers that a member had committed entries on disk.
-func (r *Replica) noteAcked(acked map[string]uint64) {
-	for host, index := range acked {
-		if _, ok := find(r.members(), host); ok {
-			r.acked[host] = max(r.acked[host], index)
+// noteAcked remembers that disks had committed entries. It goes by identity
+// and not by host: late news of a lost disk says nothing about the new one.
+func (r *Replica) noteAcked(acked map[uint64]uint64) {
+	for identity, index := range acked {
+		if holds(r.members(), identity) {
+			r.acked[identity] = max(r.acked[identity], index)
 		}
 	}
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -60,12 +60,16 @@
 	ElectionTimeout time.Duration
 	// Heartbeat is the shortest interval at rest. Default 150 ms.
 	Heartbeat time.Duration
+	// RestBytes is what the heartbeats of the leader's host may use, in bytes
+	// per second with packet overhead; the interval grows with the number of
+	// members to keep to it. Default 2700, below 3 KB/s per host.
+	RestBytes int
 	// SnapshotEntries and SnapshotBytes are the number and the size of log
 	// entries after which a snapshot is taken. Defaults 4096 and 8 MB.
 	SnapshotEntries uint64
 	SnapshotBytes   int64
-	// KeepEntries stay in the log behind a snapshot, for members and hosts
-	// that are a little behind. Default 1024.
+	// KeepEntries stay in the log behind a snapshot, but at most SnapshotBytes
+	// of them, for members and hosts that are a little behind. Default 1024.
 	KeepEntries uint64
 	// Seed makes the election timeouts repeatable in tests. 0 means random.
 	Seed uint64
@@ -76,6 +80,7 @@
 const (
 	defaultElectionTimeout = time.Second
 	defaultHeartbeat       = 150 * time.Millisecond
+	defaultRestBytes       = 2700
 	defaultSnapshotEntries = 4096
 	defaultSnapshotBytes   = 8 << 20
 	defaultKeepEntries     = 1024
@@ -90,6 +95,9 @@
 	if c.Heartbeat == 0 {
 		c.Heartbeat = defaultHeartbeat
 	}
+	if c.RestBytes == 0 {
+		c.RestBytes = defaultRestBytes
+	}
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
@@ -129,7 +137,7 @@
 	cancel    context.CancelFunc
 	hard      journal.HardState
 	configs   []config
-	acked     map[string]uint64 // committed entries that members had on disk
+	acked     map[uint64]uint64 // last committed entry that a disk had, by identity
 	leader    string            // of hard.Term, "" when unknown
 	heard     time.Time         // last message of a leader
 	voted     time.Time         // last vote for another host
@@ -161,7 +169,7 @@
 		disk:      make(chan struct{}, 1),
 		hard:      j.Hard(),
 		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
-		acked:     map[string]uint64{},
+		acked:     map[uint64]uint64{},
 		waiters:   map[uint64]*proposal{},
 		forwarded: map[uint64]*proposal{},
 		changed:   make(chan struct{}),
--- a/pkg/replica/rules_test.go
+++ b/pkg/replica/rules_test.go
@@ -304,6 +304,34 @@
 	})
 }
 
+// Guards against a host that goes on after a failed write, when what is on its
+// disk is unknown.
+func TestDiskFailureStopsTheHost(t *testing.T) {
+	inBubble(t, 18, 3, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		n := g.waitLeader()
+		n.disk.Interrupt(0)
+		_, err := g.set(n, "a", "k", "v")
+		w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.OutcomeUnknown))
+		<-n.r.done
+		w.Expect(n.r.fatal).To(HaveOccurred())
+		w.Expect(g.waitLeader()).NotTo(Equal(n))
+	})
+}
+
+// Guards against a log in memory that grows with the size of its commands.
+func TestKeptEntriesAreBoundedBySize(t *testing.T) {
+	inBubble(t, 19, 1, Config{SnapshotBytes: 100 << 10}, func(g *group) {
+		w := NewWithT(g.t)
+		n := g.waitLeader()
+		for i := range 100 {
+			_, err := g.set(n, fmt.Sprint("c", i), "k", strings.Repeat("x", 10<<10))
+			w.Expect(err).NotTo(HaveOccurred())
+		}
+		w.Expect(n.j.Last() - n.j.First()).To(BeNumerically("<", 25))
+	})
+}
+
 // Guards against a command without an end: the deadline of the calling host
 // holds on the leader too.
 func TestForwardedDeadline(t *testing.T) {
--- a/pkg/replica/wire.go
+++ b/pkg/replica/wire.go
@@ -43,9 +43,9 @@
 	Granted   bool   `cbor:"2,keyasint,omitempty"`
 	Identity  uint64 `cbor:"3,keyasint"`
 	LastIndex uint64 `cbor:"4,keyasint"`
-	// Acked is what the voter knows the members to have on disk. It lets a
+	// Acked is what the voter knows the members to have on disk, by identity. It lets a
 	// candidate refuse the vote of a member whose folder is older.
-	Acked map[string]uint64 `cbor:"5,keyasint,omitempty"`
+	Acked map[uint64]uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 type wireEntry struct {
@@ -64,7 +64,7 @@
 	To      uint64      `cbor:"5,keyasint"`
 	Entries []wireEntry `cbor:"6,keyasint,omitempty"`
 	// Acked is sent with entries and commit changes, not at rest.
-	Acked map[string]uint64 `cbor:"7,keyasint,omitempty"`
+	Acked map[uint64]uint64 `cbor:"7,keyasint,omitempty"`
 	// Refused tells the receiver that its folder is older than what it
 	// acknowledged.
 	Refused bool `cbor:"8,keyasint,omitempty"`
