--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -131,3 +131,46 @@
 		})
 	}
 }
+
+// Guards against an election that loses acknowledged commands: two voters that
+// are behind and one with an older disk are a majority, but the older disk is
+// known to have held more.
+func TestOlderDiskDoesNotElect(t *testing.T) {
+	inBubble(t, 21, 5, Config{}, func(g *group) {
+		w := NewWithT(g.t)
+		leader := g.waitLeader()
+		var rest []*node
+		for _, name := range g.names {
+			if name != leader.name {
+				rest = append(rest, g.nodes[name])
+			}
+		}
+		older, keeper, behind := rest[0], rest[1], rest[2:]
+		backup := older.disk.Copy()
+		_, err := g.set(leader, "a", "k", "seen by all")
+		w.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(time.Second)
+		for _, n := range behind {
+			g.cutHost(n.name, true, true, true)
+		}
+		_, err = g.set(leader, "b", "k", "acknowledged")
+		w.Expect(err).NotTo(HaveOccurred())
+		for _, n := range []*node{leader, keeper, older} {
+			g.kill(n.name)
+		}
+		older.disk = backup
+		g.start(older.name)
+		for _, n := range behind {
+			g.cutHost(n.name, true, true, false)
+		}
+		time.Sleep(time.Minute)
+		for _, s := range g.statuses() {
+			w.Expect(s.Ready).To(BeFalse(), "%+v", s)
+		}
+		g.start(keeper.name)
+		g.waitLeader()
+		value, _, err := g.read(behind[0], "k")
+		w.Expect(err).NotTo(HaveOccurred())
+		w.Expect(value).To(Equal("acknowledged"))
+	})
+}
