Lock the data folder against a second process

Cause: two processes on one folder would both vote with one identity. Shown by TestCompactionRemovesFiles. Ruled out: a lock file without flock, which would outlive a crash.

--- a/pkg/journal/fs.go
+++ b/pkg/journal/fs.go
@@ -4,8 +4,11 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
 )
 
 // FS is the file access that a journal needs. Names are full paths. What was
@@ -23,6 +26,8 @@
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir(dir string) error
+	// Lock takes the folder for this process until the closer is closed.
+	Lock(dir string) (io.Closer, error)
 }
 
 // File is an open file of an FS.
@@ -59,6 +64,19 @@
 	return names, errors.Wrap(err, "journal.List")
 }
 
+// Lock uses flock, which the kernel releases when the process dies.
+func (osFS) Lock(dir string) (io.Closer, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, errors.Wrap(err, "journal.Lock")
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		err = carawayshift.NewError(carawayshift.Conflict, "the data folder "+dir+" is in use by another process", "stop that process, or give each process its own folder")
+		return nil, errors.CombineErrors(err, f.Close())
+	}
+	return f, nil
+}
+
 func (osFS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
 func (osFS) Create(name string) (File, error) {
--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -19,7 +19,7 @@
 // of the log. One record of a segment is the batch of entries of one Append.
 // A record whose first index is not above the last one replaces the entries
 // from there on, so that the log files are never rewritten. "<index>.snap"
-// is the newest snapshot.
+// is the newest snapshot. "lock" keeps a second process away.
 //
 // A record that was being written when the process died fails its checksum
 // and has no valid record after it: Open cuts it off. Any other checksum
@@ -27,6 +27,7 @@
 package journal
 
 import (
+	"io"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -87,6 +88,7 @@
 
 	// Only the holder of writer uses these.
 	open   File
+	lock   io.Closer
 	number uint64
 }
 
@@ -99,9 +101,13 @@
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, errors.Wrap(err, "journal.OpenFS")
 	}
-	if err := j.load(); err != nil {
+	var err error
+	if j.lock, err = fs.Lock(dir); err != nil {
 		return nil, errors.Wrap(err, "journal.OpenFS")
 	}
+	if err := j.load(); err != nil {
+		return nil, errors.Wrap(errors.CombineErrors(err, j.lock.Close()), "journal.OpenFS")
+	}
 	return j, nil
 }
 
@@ -219,15 +225,14 @@
 	return size
 }
 
-// Close closes the open file. Everything acknowledged is already durable.
+// Close closes the open file and lets other processes open the folder.
+// Everything acknowledged is already durable.
 func (j *Journal) Close() error {
 	j.writer <- struct{}{}
 	defer func() { <-j.writer }()
 	j.fail(carawayshift.NewError(carawayshift.NotRun, "the journal is closed", "open it again"))
-	if j.open == nil {
-		return nil
-	}
-	return errors.Wrap(j.open.Close(), "journal.Close")
+	err := errors.CombineErrors(j.closeSegment(), j.lock.Close())
+	return errors.Wrap(err, "journal.Close")
 }
 
 // fail records the first failure, after which all changes are refused.
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// Guards against log files that stay after a snapshot covers them, and
-// against entries that are lost with them.
+// Guards against log files that stay after a snapshot covers them, against
+// entries that are lost with them, and against two users of one folder.
 func TestCompactionRemovesFiles(t *testing.T) {
 	w := NewWithT(t)
 	dir := t.TempDir()
@@ -163,7 +163,9 @@
 	}
 	files, err := filepath.Glob(filepath.Join(dir, "sub", "*"))
 	w.Expect(err).NotTo(HaveOccurred())
-	w.Expect(files).To(HaveLen(3), "state, one snapshot, one segment")
+	w.Expect(files).To(HaveLen(4), "state, lock, one snapshot, one segment")
+	_, err = journal.Open(filepath.Join(dir, "sub"))
+	w.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.Conflict), "a second process must not open the folder")
 	w.Expect(j.Close()).To(Succeed())
 	w.Expect(j.Append(entries(1001, 1, 1))).NotTo(Succeed())
 	j, err = journal.Open(filepath.Join(dir, "sub"))
--- a/pkg/journal/memdisk/disk.go
+++ b/pkg/journal/memdisk/disk.go
@@ -10,6 +10,7 @@
 package memdisk
 
 import (
+	"io"
 	"io/fs"
 	"maps"
 	"math/rand/v2"
@@ -227,6 +228,9 @@
 	})
 }
 
+// Lock does nothing: a test decides itself how many processes it runs.
+func (m *mount) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
+
 type file struct {
 	*mount
 	f *inode
--- a/pkg/journal/write.go
+++ b/pkg/journal/write.go
@@ -11,6 +11,7 @@
 
 const (
 	stateFile    = "state"
+	lockFile     = "lock"
 	logSuffix    = ".log"
 	snapSuffix   = ".snap"
 	tempSuffix   = ".tmp"
