--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -60,13 +60,19 @@
 	ElectionTimeout time.Duration
 	// Heartbeat is the shortest interval at rest. Default 150 ms.
 	Heartbeat time.Duration
+	// RestBytes is what the heartbeats of the leader's host may use, in bytes
+	// per second with packet overhead; the interval grows with the number of
+	// members to keep to it. Default 2700, below 3 KB/s per host.
+	RestBytes int
 	// SnapshotEntries and SnapshotBytes are the number and the size of log
 	// entries after which a snapshot is taken. Defaults 4096 and 8 MB.
 	SnapshotEntries uint64
 	SnapshotBytes   int64
-	// KeepEntries stay in the log behind a snapshot, for members and hosts
-	// that are a little behind. Default 1024.
+	// KeepEntries stay in the log behind a snapshot, but at most SnapshotBytes
+	// of them, for members and hosts that are a little behind. Default 1024.
 	KeepEntries uint64
+	// Seed makes the election timeouts repeatable in tests. 0 means random.
+	Seed uint64
 	// Logger defaults to the standard one.
 	Logger logrus.FieldLogger
 }
@@ -74,6 +80,7 @@
 const (
 	defaultElectionTimeout = time.Second
 	defaultHeartbeat       = 150 * time.Millisecond
+	defaultRestBytes       = 2700
 	defaultSnapshotEntries = 4096
 	defaultSnapshotBytes   = 8 << 20
 	defaultKeepEntries     = 1024
@@ -88,6 +95,9 @@
 	if c.Heartbeat == 0 {
 		c.Heartbeat = defaultHeartbeat
 	}
+	if c.RestBytes == 0 {
+		c.RestBytes = defaultRestBytes
+	}
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
@@ -97,6 +107,9 @@
 	if c.KeepEntries == 0 {
 		c.KeepEntries = defaultKeepEntries
 	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
 	if c.Logger == nil {
 		c.Logger = logrus.StandardLogger()
 	}
@@ -118,14 +131,16 @@
 	woke func()
 
 	mu        sync.Mutex
+	rng       *rand.Rand
 	running   bool
 	fatal     error
 	cancel    context.CancelFunc
 	hard      journal.HardState
 	configs   []config
-	acked     map[string]uint64 // committed entries that members had on disk
+	acked     map[uint64]uint64 // last committed entry that a disk had, by identity
 	leader    string            // of hard.Term, "" when unknown
 	heard     time.Time         // last message of a leader
+	voted     time.Time         // last vote for another host
 	deadline  time.Time         // next election
 	commit    uint64
 	applied   uint64
@@ -153,7 +168,8 @@
 		done:      make(chan struct{}),
 		disk:      make(chan struct{}, 1),
 		hard:      j.Hard(),
-		acked:     map[string]uint64{},
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
+		acked:     map[uint64]uint64{},
 		waiters:   map[uint64]*proposal{},
 		forwarded: map[uint64]*proposal{},
 		changed:   make(chan struct{}),
@@ -329,6 +345,6 @@
 
 // postpone sets the next election a random time after now. It needs r.mu.
 func (r *Replica) postpone(least time.Duration) {
-	spread := r.cfg.ElectionTimeout * 6 / 10
-	r.deadline = time.Now().Add(least + rand.N(spread))
+	spread := int64(r.cfg.ElectionTimeout * 6 / 10)
+	r.deadline = time.Now().Add(least + time.Duration(r.rng.Int64N(spread)))
 }
