caller: forward once without budget if nothing was sent, freeze entry hosts

Cause: when all runners of a zone died at once, 25 of 3,228 requests were refused as not run although the next zone was idle: refused connections used up the budget of 20 retries per host. Ruled out: a larger burst, which would let retries exceed a tenth of the sends after a quiet time. Change: a forward is a first send if no byte of the request has left this host. Histories get a scenario in which entry hosts freeze. A connection that was not dialled by the pool counts as written to.

--- a/internal/caller/history_test.go
+++ b/internal/caller/history_test.go
@@ -197,6 +197,7 @@
 	{name: "runners freeze", disturb: freezeRunners},
 	{name: "connections are cut", disturb: cutRunners},
 	{name: "entry hosts lose their peers", disturb: isolateHosts},
+	{name: "entry hosts freeze", disturb: freezeHosts},
 	{name: "entry hosts are killed and return", disturb: killHosts},
 	{
 		name:    "everything at once",
@@ -243,6 +244,16 @@
 	w.hub.isolate(h.name, false)
 }
 
+// freezeHosts stops what goes in and out of a host; its timers run on.
+func freezeHosts(w *world, rnd *rand.Rand) {
+	h := w.hosts[rnd.IntN(len(w.hosts))]
+	w.net.freeze(h.address)
+	w.hub.isolate(h.name, true)
+	time.Sleep(upTo(rnd, 2*time.Second))
+	w.hub.isolate(h.name, false)
+	w.net.thaw(h.address)
+}
+
 // killHosts stops one host of a zone at a time: two would lose claims by design.
 func killHosts(w *world, rnd *rand.Rand) {
 	i := rnd.IntN(len(w.hosts))
@@ -259,7 +270,7 @@
 }
 
 func everything(w *world, rnd *rand.Rand) {
-	for _, f := range []func(*world, *rand.Rand){resetRunners, cutRunners, freezeRunners, killRunners, isolateHosts, killHosts} {
+	for _, f := range []func(*world, *rand.Rand){resetRunners, cutRunners, freezeRunners, killRunners, isolateHosts, freezeHosts, killHosts} {
 		f(w, rnd)
 	}
 }
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -63,6 +63,10 @@
 	// attempt is the id that a forwarding entry host expects back.
 	attempt string
 	sends   int
+	// started is the number of sends of which a byte may have left this host, and
+	// moves the number of forwards.
+	started int
+	moves   int
 	tried   []string
 }
 
--- a/internal/caller/remote.go
+++ b/internal/caller/remote.go
@@ -68,22 +68,20 @@
 	rand.Shuffle(len(s), func(i, k int) { s[i], s[k] = s[k], s[i] })
 }
 
-// forward sends the request to one entry host of a zone. The first send of a
-// request is free; later ones are retries.
+// forward sends the request to one entry host of a zone. It costs no retry if no
+// byte of the request has left this host: when all runners of a zone die at
+// once, the budget does not last for the requests that meet a refused
+// connection, and the next zone gets each of them once.
 func (h *Handler) forward(ctx context.Context, j *job, zone, reason string, alternatives int) (*runner.Answer, error) {
 	hosts := h.cfg.Entries(zone)
 	if len(hosts) == 0 {
 		return nil, notRun("zone "+zone+" has no entry host", "send it again later")
 	}
-	if j.sends == 0 {
-		h.cfg.Budget.Deposit()
-	} else if !h.cfg.Budget.Withdraw() {
-		h.stats.exhausted.Inc()
+	if !h.payMove(j) {
 		return nil, notRun("the retry budget is used up", "send it again later")
-	} else {
-		h.stats.retries.Inc()
 	}
 	j.sends++
+	j.moves++
 	address := hosts[rand.IntN(len(hosts))]
 	h.log(j, zone+"/"+address, reason, alternatives)
 	h.stats.forwards.Inc()
@@ -100,6 +98,22 @@
 	return unwrap(a)
 }
 
+// payMove takes a forward from the retry budget unless it is the first send.
+func (h *Handler) payMove(j *job) bool {
+	if j.started == 0 && j.moves == 0 {
+		if j.sends == 0 {
+			h.cfg.Budget.Deposit()
+		}
+		return true
+	}
+	if !h.cfg.Budget.Withdraw() {
+		h.stats.exhausted.Inc()
+		return false
+	}
+	h.stats.retries.Inc()
+	return true
+}
+
 func (h *Handler) hopValue() string {
 	if h.cfg.HopToken != "" {
 		return h.cfg.HopToken
--- a/internal/caller/route.go
+++ b/internal/caller/route.go
@@ -220,6 +220,9 @@
 	start := time.Now()
 	a, err := h.cfg.Pool.Send(ctx, c.runner, j.request(newID()))
 	c.done(outcome(a, err), time.Since(start))
+	if err == nil || carawayshift.KindOf(err) != carawayshift.NotRun {
+		j.started++
+	}
 	return a, err
 }
 
--- a/internal/runner/conn.go
+++ b/internal/runner/conn.go
@@ -60,7 +60,7 @@
 func (t *track) seal() bool {
 	c := t.conn
 	if c == nil {
-		return false
+		return t.started
 	}
 	c.mu.Lock()
 	started := t.started
--- a/internal/runner/send.go
+++ b/internal/runner/send.go
@@ -91,9 +91,13 @@
 	}
 	var t track
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		if c, ok := i.Conn.(*conn); ok {
-			c.begin(&t)
+		c, ok := i.Conn.(*conn)
+		if !ok {
+			// Bytes of a connection that was not dialled here can't be tracked.
+			t.started = true
+			return
 		}
+		c.begin(&t)
 	}}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
