caller, claim: refuse forwarded requests recognisably, bound names from outside

Cause: a draining host refused forwarded requests without their attempt id, so that the forwarding host took the refusal for an unclear end and answered outcome unknown instead of not run. The forward also gave up on a zone whose first entry host could not be reached. Change: refusals before parsing echo the attempt id; a forward tries a second entry host of the zone if no byte left; kinds from other hosts are limited to the known ones; meters of teams are bounded; claims measure their age from the start of the process, so that a step of the wall clock expires none, and are kept for 5 min at least, above the longest deadline of 2 min. Guard switched off on a scratch copy: without the echo TestForwardsOnce sees "outcome unknown" from a draining host. Conclusion: the tests of both packages pass.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -153,13 +153,13 @@
 	h.mu.Lock()
 	if h.active >= h.cfg.Active {
 		h.mu.Unlock()
-		h.fail(w, nil, notRun("this host has too many requests", "send it again later"))
+		h.fail(w, h.stub(req), notRun("this host has too many requests", "send it again later"))
 		return
 	}
 	if h.draining {
 		h.mu.Unlock()
 		w.Header().Set("Connection", "close")
-		h.fail(w, nil, notRun("this host is stopping", "send it again; the load balancer picks another host"))
+		h.fail(w, h.stub(req), notRun("this host is stopping", "send it again; the load balancer picks another host"))
 		return
 	}
 	h.active++
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -95,6 +95,16 @@
 	return j, nil
 }
 
+// stub returns what a refusal before parsing needs: a forwarding host takes a
+// refusal without its attempt id for an unclear end.
+func (h *Handler) stub(req *http.Request) *job {
+	j := &job{id: req.Header.Get(headerRequest)}
+	if h.hopped(req.Header) {
+		j.attempt = req.Header.Get(runner.AttemptHeader)
+	}
+	return j
+}
+
 // service returns the service part of /r/{service}/....
 func service(path string) string {
 	rest, ok := strings.CutPrefix(path, "/r/")
--- a/internal/caller/limit.go
+++ b/internal/caller/limit.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxTeams bounds the meters, since callers choose the team's name.
+const maxTeams = 10_000
+
 // meter is a token bucket that holds one second of its rate. Charges after the
 // fact may make it negative.
 type meter struct {
@@ -54,6 +57,10 @@
 		return true
 	}
 	l.mu.Lock()
+	if len(l.teams) > maxTeams {
+		// Full meters are worth one second of a team's rate at most.
+		clear(l.teams)
+	}
 	m := l.teams[team]
 	if m == nil || m.rate != rate {
 		m = newMeter(rate)
--- a/internal/caller/refuse_test.go
+++ b/internal/caller/refuse_test.go
@@ -92,6 +92,13 @@
 			g.Expect(rep.body).To(Equal(right("q", key)))
 		}
 		g.Expect(w.runners[0].Runs()).To(Equal(map[string]int{"k": 1}))
+		for _, h := range w.hosts[:2] {
+			g.Expect(h.handler.Drain(w.ctx)).To(Succeed())
+		}
+		for i := range 8 {
+			rep := w.send(w.ctx, "a2-h0:80", http.MethodPost, fmt.Sprint("draining", i), nil)
+			g.Expect(rep.status == 200 || rep.kind == "not run").To(BeTrue(), "a draining host's refusal is known: %s", rep.kind)
+		}
 		w.runners[0].Leave()
 		time.Sleep(2 * time.Second)
 		start := time.Now()
--- a/internal/caller/remote.go
+++ b/internal/caller/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,10 @@
 	"carawayshift.example/carawayshift/internal/runner"
 )
 
+// maxFreeMoves is the number of forwards that cost no retry while no byte of the
+// request has left this host: two entry hosts of one zone.
+const maxFreeMoves = 2
+
 // remote tries entry hosts of the region's other zones, then of one other
 // region within the byte budget.
 func (h *Handler) remote(ctx context.Context, j *job) (*runner.Answer, error) {
@@ -68,21 +73,32 @@
 	rand.Shuffle(len(s), func(i, k int) { s[i], s[k] = s[k], s[i] })
 }
 
-// forward sends the request to one entry host of a zone. It costs no retry if no
-// byte of the request has left this host: when all runners of a zone die at
-// once, the budget does not last for the requests that meet a refused
-// connection, and the next zone gets each of them once.
+// forward sends the request to an entry host of a zone, and to a second one if
+// the first can't be reached.
 func (h *Handler) forward(ctx context.Context, j *job, zone, reason string, alternatives int) (*runner.Answer, error) {
-	hosts := h.cfg.Entries(zone)
+	hosts := slices.Clone(h.cfg.Entries(zone))
 	if len(hosts) == 0 {
 		return nil, notRun("zone "+zone+" has no entry host", "send it again later")
 	}
+	shuffle(hosts)
+	before := j.started
+	a, err := h.forwardTo(ctx, j, zone, hosts[0], reason, alternatives)
+	if err != nil && j.started == before && len(hosts) > 1 && h.mayMove(ctx, j, err) {
+		return h.forwardTo(ctx, j, zone, hosts[1], "first entry host not reached", alternatives)
+	}
+	return a, err
+}
+
+// forwardTo sends the request to one entry host. It costs no retry if no
+// byte of the request has left this host: when all runners of a zone die at
+// once, the budget does not last for the requests that meet a refused
+// connection, and the next zone gets each of them once.
+func (h *Handler) forwardTo(ctx context.Context, j *job, zone, address, reason string, alternatives int) (*runner.Answer, error) {
 	if !h.payMove(j) {
 		return nil, notRun("the retry budget is used up", "send it again later")
 	}
 	j.sends++
 	j.moves++
-	address := hosts[rand.IntN(len(hosts))]
 	h.log(j, zone+"/"+address, reason, alternatives)
 	h.stats.forwards.Inc()
 	q := j.request(newID())
@@ -92,6 +108,9 @@
 	ctx, cancel := sending(ctx, j)
 	defer cancel()
 	a, err := h.cfg.Pool.Send(ctx, carawayshift.Runner{Name: address, Address: address}, q)
+	if err == nil || carawayshift.KindOf(err) != carawayshift.NotRun {
+		j.started++
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +119,7 @@
 
 // payMove takes a forward from the retry budget unless it is the first send.
 func (h *Handler) payMove(j *job) bool {
-	if j.started == 0 && j.moves == 0 {
+	if j.started == 0 && j.moves < maxFreeMoves {
 		if j.sends == 0 {
 			h.cfg.Budget.Deposit()
 		}
@@ -131,8 +150,10 @@
 	switch kind {
 	case carawayshift.NotRun, carawayshift.Limited, carawayshift.Unavailable:
 		return nil, notRun(e.Error, e.Remedy)
+	case carawayshift.Malformed, carawayshift.TooLarge, carawayshift.Conflict:
+		return nil, carawayshift.NewError(kind, e.Error, e.Remedy)
 	}
-	return nil, carawayshift.NewError(kind, e.Error, e.Remedy)
+	return nil, carawayshift.NewError(carawayshift.OutcomeUnknown, e.Error, e.Remedy)
 }
 
 // statusOf maps kinds to HTTP status codes.
--- a/pkg/claim/file.go
+++ b/pkg/claim/file.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -44,7 +43,7 @@
 	}
 	r.load(b)
 	r.ready = true
-	r.expire(time.Now())
+	r.expire()
 	return r.rewrite()
 }
 
--- a/pkg/claim/recover.go
+++ b/pkg/claim/recover.go
@@ -124,7 +124,7 @@
 // merge adds records. A host that is collecting has granted nothing itself, so
 // that a record with an outcome replaces one without.
 func (r *Registry) merge(p *page) {
-	now := time.Now().UnixMilli()
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, rec := range p.Records {
@@ -160,7 +160,7 @@
 		}
 	}
 	sort.Strings(keys)
-	now := time.Now().UnixMilli()
+	now := r.now()
 	var p page
 	size := 0
 	for _, key := range keys {
--- a/pkg/claim/registry.go
+++ b/pkg/claim/registry.go
@@ -30,6 +30,9 @@
 
 const (
 	defaultRetention = 10 * time.Minute
+	// minRetention is above the longest deadline of a request (2 min), so that
+	// no key is forgotten while its request runs.
+	minRetention = 5 * time.Minute
 	// roundLimit bounds one round of claim.put calls. A restarted host waits
 	// that long before it collects records, so that every majority that counts
 	// a grant of its earlier life is complete by then.
@@ -86,8 +89,9 @@
 
 // Registry claims keys for this host's requests and keeps records for all.
 type Registry struct {
-	cfg  Config
-	disk file
+	cfg     Config
+	started time.Time
+	disk    file
 
 	mu      sync.Mutex
 	ready   bool
@@ -102,7 +106,8 @@
 	if cfg.Retention <= 0 {
 		cfg.Retention = defaultRetention
 	}
-	r := &Registry{cfg: cfg, records: map[string]*record{}, dropped: map[string]int64{}, ready: cfg.Fresh}
+	cfg.Retention = max(cfg.Retention, minRetention)
+	r := &Registry{cfg: cfg, started: time.Now(), records: map[string]*record{}, dropped: map[string]int64{}, ready: cfg.Fresh}
 	if cfg.Path != "" {
 		if err := r.open(); err != nil {
 			return nil, err
@@ -147,7 +152,7 @@
 		case <-ctx.Done():
 			return r.close()
 		case <-tick.C:
-			r.expire(time.Now())
+			r.expire()
 			if err := r.compact(); err != nil {
 				return err
 			}
@@ -162,8 +167,14 @@
 	return r.ready
 }
 
-func (r *Registry) expire(now time.Time) {
-	limit := now.Add(-r.cfg.Retention).UnixMilli()
+// now returns the time in Unix ms at the start plus the elapsed time, so that a
+// step of the wall clock makes no key expire early.
+func (r *Registry) now() int64 {
+	return r.started.Add(time.Since(r.started)).UnixMilli()
+}
+
+func (r *Registry) expire() {
+	limit := r.now() - r.cfg.Retention.Milliseconds()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, rec := range r.records {
--- a/pkg/claim/serve.go
+++ b/pkg/claim/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"carawayshift.example/carawayshift"
 )
@@ -66,7 +65,7 @@
 	if len(r.records) >= maxRecords {
 		return reply{}, nil, unavailable("this host holds too many claims", "send it again later")
 	}
-	rec := &record{Key: q.Key, Owner: q.Owner, Print: q.Print, At: time.Now().UnixMilli()}
+	rec := &record{Key: q.Key, Owner: q.Owner, Print: q.Print, At: r.now()}
 	r.records[q.Key] = rec
 	return rec.reply(), rec, nil
 }
@@ -109,7 +108,7 @@
 	if rec != nil && rec.Outcome != nil {
 		return *rec
 	}
-	at := time.Now().UnixMilli()
+	at := r.now()
 	if rec != nil {
 		at = rec.At
 	}
@@ -135,7 +134,7 @@
 }
 
 func (r *Registry) drop(q wire) record {
-	now := time.Now().UnixMilli()
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.dropped[q.Owner] = now
