--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -63,6 +63,10 @@
 	// attempt is the id that a forwarding entry host expects back.
 	attempt string
 	sends   int
+	// started is the number of sends of which a byte may have left this host, and
+	// moves the number of forwards.
+	started int
+	moves   int
 	tried   []string
 }
 
@@ -91,6 +95,16 @@
 	return j, nil
 }
 
+// stub returns what a refusal before parsing needs: a forwarding host takes a
+// refusal without its attempt id for an unclear end.
+func (h *Handler) stub(req *http.Request) *job {
+	j := &job{id: req.Header.Get(headerRequest)}
+	if h.hopped(req.Header) {
+		j.attempt = req.Header.Get(runner.AttemptHeader)
+	}
+	return j
+}
+
 // service returns the service part of /r/{service}/....
 func service(path string) string {
 	rest, ok := strings.CutPrefix(path, "/r/")
