Refuse mistyped settings and accept any worker name

Cause: set config objectve = packing was accepted and changed nothing that is read. A worker whose name has a slash could not be quarantined.

Change: a key that is like objective is refused with that name, any other key is accepted with a remark that nothing reads it, and show config prints the default objective. Names of workers, which name themselves, are checked for length only. Explain answers an unknown rule of several words with the list of known ones.

Seen with a guard switched off: keys not compared: TestFaultyStatements fails; end of a quarantine not compared: TestRefusedInputChangesNothing fails.

--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -25,6 +25,10 @@
 	neverHeard = 50 * 365 * 24 * time.Hour
 )
 
+// objective is the only setting that the system reads. Others are kept for
+// the deployment's own scripts.
+const objective = "objective"
+
 // command proposes the command of a statement and reports its answer.
 func (h *Handler) command(ctx context.Context, q request, s statement.Statement) reply {
 	if q.ID == "" || q.Operator == "" {
@@ -38,6 +42,10 @@
 	if s.Verb == "cancel" && s.Object == "jobs" {
 		return h.cancelMany(ctx, q, s)
 	}
+	if s.Object == "config" && s.Name != objective && statement.Near(s.Name, []string{objective}) != "" {
+		return failure(carawayshift.NewError(carawayshift.Refused,
+			"no part of carawayshift reads a setting "+s.Name, "did you mean objective? type: set config objective = packing"))
+	}
 	a, err := h.propose(ctx, h.build(q, s))
 	if err != nil {
 		return failure(err)
@@ -45,7 +53,11 @@
 	if a.Kind == carawayshift.NotFound {
 		a.Remedy = h.suggest(s) + a.Remedy
 	}
-	return h.report(ctx, a)
+	r := h.report(ctx, a)
+	if s.Object == "config" && s.Name != objective && a.Kind == "" {
+		r.Text += "no part of carawayshift reads this setting; the only one that is read is objective\n"
+	}
+	return r
 }
 
 // suggest returns a sentence with the name of an existing object that is like
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -18,6 +18,7 @@
 	"gang":                 "all tasks of a job run at the same time, or none does.",
 	"guarantee":            "cells that a team can always get back, even while others use them. type: show guarantees",
 	"held":                 "an operator keeps the job from running until it is released.",
+	"objective":            "what the planner optimises: completion, which is the default, or packing. type: show config",
 	"packing":              "the objective that favours large adjacent cells. type: set config objective = packing",
 	"parked":               "the job failed too often or can never run. It waits for an operator to change, release or cancel it.",
 	"placed":               "the job has workers, and no task has started.",
@@ -51,7 +52,7 @@
 	if err == nil {
 		return reply{Text: v.effect(s)}
 	}
-	if len(words) < 2 {
+	if f := statement.AsFault(err); len(words) < 2 || f != nil && f.Position == 1 && f.Near == "" {
 		return v.unknownWord(name)
 	}
 	a := failure(err)
--- a/internal/operator/rows.go
+++ b/internal/operator/rows.go
@@ -227,6 +227,9 @@
 
 func (v *view) configRows() [][]any {
 	var rows [][]any
+	if _, ok := v.Config[objective]; !ok {
+		rows = append(rows, []any{objective, string(carawayshift.ObjectiveCompletion)})
+	}
 	for _, key := range slices.Sorted(maps.Keys(v.Config)) {
 		rows = append(rows, []any{key, v.Config[key]})
 	}
--- a/internal/state/check.go
+++ b/internal/state/check.go
@@ -61,6 +61,10 @@
 	return true
 }
 
+// validTarget accepts the name of a worker, runner or host. They name
+// themselves when they announce, so that only the length is checked.
+func validTarget(s string) bool { return s != "" && len(s) <= maxName }
+
 func validObjective(s string) bool {
 	o := carawayshift.Objective(s)
 	return o == carawayshift.ObjectiveCompletion || o == carawayshift.ObjectivePacking
@@ -133,7 +137,7 @@
 		return nil
 	}
 	kind, name, _ := strings.Cut(on, " ")
-	found := validName(name)
+	found := false
 	switch kind {
 	case "job":
 		id, err := strconv.ParseUint(name, 10, 64)
@@ -144,6 +148,7 @@
 	case "zone":
 		_, found = m.s.Zones[name]
 	case "worker", "runner", "host":
+		found = validTarget(name)
 	default:
 		return malformed("a note is on a job, team, zone, worker, runner or host", `type: note on job 41 "text"`)
 	}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -214,7 +214,7 @@
 	a.Version = m.s.Version
 	m.authors = append(m.authors, c.By)
 	if len(m.authors) > maxAnswers {
-		m.authors = slices.Clone(m.authors[len(m.authors)-maxAnswers:])
+		m.authors = m.authors[1:]
 	}
 }
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -259,6 +259,7 @@
 		{"cell that is no power of two", carawayshift.Command{Kind: carawayshift.SetTeam, Team: &carawayshift.Team{Name: "carnival", Guarantee: []carawayshift.CellCount{{Count: 1, Size: 3}}}}, carawayshift.Malformed},
 		{"job without team", carawayshift.Command{Kind: carawayshift.CreateJob, Job: &carawayshift.Job{Name: "a", Team: "b", Tasks: 1, Accelerators: 1}}, carawayshift.NotFound},
 		{"job without tasks", carawayshift.Command{Kind: carawayshift.CreateJob, Job: &carawayshift.Job{Name: "a", Team: "carnival", Accelerators: 1}}, carawayshift.Malformed},
+		{"quarantine without an end", carawayshift.Command{Kind: carawayshift.QuarantineWorker, Name: "rack1/w1"}, carawayshift.Malformed},
 		{"objective", carawayshift.Command{Kind: carawayshift.SetConfig, Name: "objective", Value: "fast"}, carawayshift.Refused},
 		{"note on nothing", carawayshift.Command{Kind: carawayshift.AddNote, Note: &carawayshift.Note{On: "job 9", Text: "x"}}, carawayshift.NotFound},
 	}
--- a/internal/state/operators.go
+++ b/internal/state/operators.go
@@ -125,7 +125,7 @@
 }
 
 func releaseWorker(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
-	if !validName(c.Name) {
+	if !validTarget(c.Name) {
 		return malformed("the command names no worker", "type: show quarantine")
 	}
 	if _, ok := m.s.Quarantine[c.Name]; !ok {
--- a/internal/state/schedulerjobs.go
+++ b/internal/state/schedulerjobs.go
@@ -160,7 +160,7 @@
 	}
 	j.Checkpoint = max(j.Checkpoint, c.Change.Checkpoint)
 	j.Failures++
-	if validName(c.Change.Worker) {
+	if validTarget(c.Change.Worker) {
 		j.FailedOn = append(slices.Clone(j.FailedOn), c.Change.Worker)
 	}
 	to, why := carawayshift.JobWaiting, clip(c.Change.Reason)
@@ -195,7 +195,7 @@
 }
 
 func quarantineWorker(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
-	if !validName(c.Name) || !c.Until.After(c.At) {
+	if !validTarget(c.Name) || !c.Until.After(c.At) {
 		return malformed("a quarantine needs a worker and an end after its start", "")
 	}
 	q := m.quarantine()
