Don't count a failure while a job is stopping

Cause: a task that is stopped for a reclaim or a drain may end with an error; five such stops would have parked a healthy job. Job.Failures is documented as not counting stops by reclaim or drain.

Change: FailJob of a stopping job moves it to StopTo and keeps its reason and its count of failures.

Seen with the guard switched off: TestFailureWhileStoppingIsNotCounted fails.

--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -212,6 +212,22 @@
 	g.Expect(m.State().Teams["carnival"].Ratio).To(Equal(2.0))
 }
 
+// Guards against a job that is parked because tasks ended with an error when
+// they were stopped for other work.
+func TestFailureWhileStoppingIsNotCounted(t *testing.T) {
+	g := NewWithT(t)
+	m := filled()
+	do(m, place(1))
+	do(m, at(carawayshift.StartJob, 1))
+	do(m, change(carawayshift.StopJob, carawayshift.JobChange{Attempt: 1, Reason: "reclaimed"}))
+	do(m, change(carawayshift.FailJob, carawayshift.JobChange{Attempt: 1, Worker: "w1"}))
+	j := m.State().Jobs[1]
+	g.Expect(j.State).To(Equal(carawayshift.JobWaiting))
+	g.Expect(j.Reason).To(Equal("reclaimed"))
+	g.Expect(j.Failures).To(BeZero())
+	g.Expect(j.FailedOn).To(BeEmpty())
+}
+
 // Guards against an operator command that is applied twice after a lost
 // answer, and against an id that is reused.
 func TestResentCommand(t *testing.T) {
--- a/internal/state/schedulerjobs.go
+++ b/internal/state/schedulerjobs.go
@@ -152,13 +152,19 @@
 	m.teams()[t.Name] = t
 }
 
-// failJob reports that a task failed and that no task of the attempt runs.
+// failJob reports that a task failed and that no task of the attempt runs. A
+// failure while the job was stopping is not counted: a task that is stopped for
+// a reclaim or a drain may end with an error.
 func failJob(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
 	j, err := m.attempt(c, carawayshift.JobPlaced, carawayshift.JobRunning, carawayshift.JobStopping)
 	if err != nil {
 		return err
 	}
 	j.Checkpoint = max(j.Checkpoint, c.Change.Checkpoint)
+	if j.State == carawayshift.JobStopping {
+		m.put(settle(j, j.StopTo, c.At, j.Reason))
+		return nil
+	}
 	j.Failures++
 	if validTarget(c.Change.Worker) {
 		j.FailedOn = append(slices.Clone(j.FailedOn), c.Change.Worker)
@@ -168,9 +174,6 @@
 		to = carawayshift.JobParked
 		why = fmt.Sprintf("failed %d times: %s", j.Failures, why)
 	}
-	if j.StopTo == carawayshift.JobCancelled || j.StopTo == carawayshift.JobHeld {
-		to, why = j.StopTo, j.Reason
-	}
 	m.put(settle(j, to, c.At, why))
 	return nil
 }
