Say in which state a command left a job

Cause: the answer to cancel job said accepted while the job still ran.

Change: the answers to cancel, hold, release and set job end with the job's state, and with the state that follows when it is stopping. The reclaim session cancels a running job.

Seen with a guard switched off: the state that follows left out: TestReclaim fails.

--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -57,9 +57,27 @@
 	if s.Object == "config" && s.Name != objective && a.Kind == "" {
 		r.Text += "no part of carawayshift reads this setting; the only one that is read is objective\n"
 	}
+	if s.Job != 0 && s.Verb != "note" && a.Kind == "" {
+		r.Text += h.jobNow(ctx, s.Job, a.Index)
+	}
 	return r
 }
 
+// jobNow says in which state a command left a job: one that runs is stopped
+// first, so that it is not yet cancelled or held when the command is accepted.
+func (h *Handler) jobNow(ctx context.Context, id, index uint64) string {
+	ctx, cancel := context.WithTimeout(ctx, barrierTime)
+	defer cancel()
+	if h.cfg.Wait(ctx, index) != nil {
+		return ""
+	}
+	j := h.cfg.State().Jobs[id]
+	if j.StopTo != "" {
+		return fmt.Sprintf("job %d is now %s, then %s\n", id, j.State, j.StopTo)
+	}
+	return fmt.Sprintf("job %d is now %s\n", id, j.State)
+}
+
 // suggest returns a sentence with the name of an existing object that is like
 // the one that was not found, or "".
 func (h *Handler) suggest(s statement.Statement) string {
--- a/internal/operator/session_test.go
+++ b/internal/operator/session_test.go
@@ -117,6 +117,10 @@
 		s.as("jules", "release job 2")
 		s.as("jules", "why job 2")
 		s.as("jules", "explain reservation")
+		s.as("jules", `cancel job 3 because "lesson moved to Monday"`)
+		s.as("jules", "cancel job 3")
+		s.report(carawayshift.JobStopped, 3, 0)
+		s.as("jules", "why job 3")
 	})
 }
 
