Refuse cells after none in a guarantee

Cause: guarantee none, 2x8 was read as 2x8.

Change: cells after none are a fault at the cell.

Seen with the guard switched off: TestFault fails.

--- a/internal/statement/fields.go
+++ b/internal/statement/fields.go
@@ -98,6 +98,9 @@
 	if i == 0 && strings.EqualFold(text, "none") {
 		return ""
 	}
+	if len(s.Team.Guarantee) < i {
+		return "the end, because none stands alone"
+	}
 	c, ok := parseCells(text)
 	if !ok {
 		return "cells such as 2x8: a count and a power of two"
--- a/internal/statement/statement_test.go
+++ b/internal/statement/statement_test.go
@@ -92,6 +92,7 @@
 		{`show jobs because "x"`, 11, "the end"},
 		{"why job forty", 9, "a job number"},
 		{"create team a guarantee 2x8, 1x33", 30, "power of two"},
+		{"set team a guarantee none, 2x8", 28, "none stands alone"},
 		{"create job a team b tsks 4", 21, "tasks"},
 		{"create job a team b tasks 4", 28, "accelerators"},
 		{"create job a team b tasks 4 tasks 4", 29, "accelerators"},
