--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -25,6 +25,10 @@
 	neverHeard = 50 * 365 * 24 * time.Hour
 )
 
+// objective is the only setting that the system reads. Others are kept for
+// the deployment's own scripts.
+const objective = "objective"
+
 // command proposes the command of a statement and reports its answer.
 func (h *Handler) command(ctx context.Context, q request, s statement.Statement) reply {
 	if q.ID == "" || q.Operator == "" {
@@ -38,6 +42,10 @@
 	if s.Verb == "cancel" && s.Object == "jobs" {
 		return h.cancelMany(ctx, q, s)
 	}
+	if s.Object == "config" && s.Name != objective && statement.Near(s.Name, []string{objective}) != "" {
+		return failure(carawayshift.NewError(carawayshift.Refused,
+			"no part of carawayshift reads a setting "+s.Name, "did you mean objective? type: set config objective = packing"))
+	}
 	a, err := h.propose(ctx, h.build(q, s))
 	if err != nil {
 		return failure(err)
@@ -45,7 +53,29 @@
 	if a.Kind == carawayshift.NotFound {
 		a.Remedy = h.suggest(s) + a.Remedy
 	}
-	return h.report(ctx, a)
+	r := h.report(ctx, a)
+	if s.Object == "config" && s.Name != objective && a.Kind == "" {
+		r.Text += "no part of carawayshift reads this setting; the only one that is read is objective\n"
+	}
+	if s.Job != 0 && s.Verb != "note" && a.Kind == "" {
+		r.Text += h.jobNow(ctx, s.Job, a.Index)
+	}
+	return r
+}
+
+// jobNow says in which state a command left a job: one that runs is stopped
+// first, so that it is not yet cancelled or held when the command is accepted.
+func (h *Handler) jobNow(ctx context.Context, id, index uint64) string {
+	ctx, cancel := context.WithTimeout(ctx, barrierTime)
+	defer cancel()
+	if h.cfg.Wait(ctx, index) != nil {
+		return ""
+	}
+	j := h.cfg.State().Jobs[id]
+	if j.StopTo != "" {
+		return fmt.Sprintf("job %d is now %s, then %s\n", id, j.State, j.StopTo)
+	}
+	return fmt.Sprintf("job %d is now %s\n", id, j.State)
 }
 
 // suggest returns a sentence with the name of an existing object that is like
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -212,6 +212,22 @@
 	g.Expect(m.State().Teams["carnival"].Ratio).To(Equal(2.0))
 }
 
+// Guards against a job that is parked because tasks ended with an error when
+// they were stopped for other work.
+func TestFailureWhileStoppingIsNotCounted(t *testing.T) {
+	g := NewWithT(t)
+	m := filled()
+	do(m, place(1))
+	do(m, at(carawayshift.StartJob, 1))
+	do(m, change(carawayshift.StopJob, carawayshift.JobChange{Attempt: 1, Reason: "reclaimed"}))
+	do(m, change(carawayshift.FailJob, carawayshift.JobChange{Attempt: 1, Worker: "w1"}))
+	j := m.State().Jobs[1]
+	g.Expect(j.State).To(Equal(carawayshift.JobWaiting))
+	g.Expect(j.Reason).To(Equal("reclaimed"))
+	g.Expect(j.Failures).To(BeZero())
+	g.Expect(j.FailedOn).To(BeEmpty())
+}
+
 // Guards against an operator command that is applied twice after a lost
 // answer, and against an id that is reused.
 func TestResentCommand(t *testing.T) {
@@ -259,6 +275,7 @@
 		{"cell that is no power of two", carawayshift.Command{Kind: carawayshift.SetTeam, Team: &carawayshift.Team{Name: "carnival", Guarantee: []carawayshift.CellCount{{Count: 1, Size: 3}}}}, carawayshift.Malformed},
 		{"job without team", carawayshift.Command{Kind: carawayshift.CreateJob, Job: &carawayshift.Job{Name: "a", Team: "b", Tasks: 1, Accelerators: 1}}, carawayshift.NotFound},
 		{"job without tasks", carawayshift.Command{Kind: carawayshift.CreateJob, Job: &carawayshift.Job{Name: "a", Team: "carnival", Accelerators: 1}}, carawayshift.Malformed},
+		{"quarantine without an end", carawayshift.Command{Kind: carawayshift.QuarantineWorker, Name: "rack1/w1"}, carawayshift.Malformed},
 		{"objective", carawayshift.Command{Kind: carawayshift.SetConfig, Name: "objective", Value: "fast"}, carawayshift.Refused},
 		{"note on nothing", carawayshift.Command{Kind: carawayshift.AddNote, Note: &carawayshift.Note{On: "job 9", Text: "x"}}, carawayshift.NotFound},
 	}
