follower: read the call counts of the test world under its lock

Cause: go test -race reported TestOneRelayPerZone, whose test read the fake network's counts while hosts were calling.

--- a/pkg/follower/follower_test.go
+++ b/pkg/follower/follower_test.go
@@ -163,7 +163,7 @@
 			defer hosts[len(hosts)-1].stop()
 		}
 		time.Sleep(30 * time.Second)
-		clear(w.calls)
+		w.counts()
 		began := time.Now()
 		last := w.commit(0)
 		for _, h := range hosts {
@@ -172,15 +172,25 @@
 		t.Log("applied on 9 hosts after", time.Since(began))
 		g.Expect(time.Since(began)).To(BeNumerically("<", 200*time.Millisecond))
 		time.Sleep(time.Second)
+		calls := w.counts()
 		for _, n := range zone {
-			far := w.calls[n+">v1 "+methodPull] + w.calls[n+">v2 "+methodPull] + w.calls[n+">v1 "+methodReport]
+			far := calls[n+">v1 "+methodPull] + calls[n+">v2 "+methodPull] + calls[n+">v1 "+methodReport]
 			g.Expect(far > 0).To(Equal(n == "b1"), n)
 			g.Expect(w.leaderProgress()[n].Index).To(Equal(last), n)
 		}
-		t.Log(w.calls)
+		t.Log(calls)
 	})
 }
 
+// counts returns the calls since the last time.
+func (w *world) counts() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := w.calls
+	w.calls = map[string]int{}
+	return out
+}
+
 func (w *world) leaderProgress() map[string]Seen {
 	return w.voters["v1"].Progress()
 }
