Quarantine failing workers and park failing jobs in the leader's loop

Cause: a worker that fails everything it starts frees its accelerators at once and so attracts every waiting job; pkg/quarantine was not called. Change: the scheduler follows the ends of attempts in the replicated state and acts on the verdicts. Failures of a released job or worker are forgiven. Parks now carry the job's attempt, without which the state machine refused them for every job that had been placed before. Ruled out: replicating each success, which would add an entry to each job for a memory that a new leader can rebuild from the failures that jobs record.

--- a/cmd/carawayshift/process_test.go
+++ b/cmd/carawayshift/process_test.go
@@ -34,11 +34,11 @@
 }
 
 type hostProcess struct {
-	name, zone, region         string
-	http, operators, peers     string
-	voter                      bool
-	cmd                        *exec.Cmd
-	settings, certificate, key string
+	name, zone, region     string
+	http, operators, peers string
+	voter                  bool
+	cmd                    *exec.Cmd
+	settings               string
 }
 
 func newDeployment(t *testing.T, hosts []*hostProcess) *deployment {
@@ -99,7 +99,7 @@
 	d.g.Expect(os.WriteFile(h.settings, []byte(b.String()), 0o600)).To(Succeed())
 }
 
-// start runs a process that the test ends by its id.
+// spawn starts a process that the test ends by its id.
 func (d *deployment) spawn(log string, args ...string) *exec.Cmd {
 	f, err := os.OpenFile(d.path(log+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	d.g.Expect(err).NotTo(HaveOccurred())
@@ -127,14 +127,6 @@
 	_ = h.cmd.Wait()
 }
 
-func (d *deployment) entries() []string {
-	var list []string
-	for _, h := range d.hosts {
-		list = append(list, "--entry", "http://"+h.http)
-	}
-	return list
-}
-
 func (d *deployment) run(args ...string) string {
 	out, err := exec.Command(d.bin, args...).CombinedOutput()
 	d.g.Expect(err).NotTo(HaveOccurred(), "%v: %s", args, out)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -57,7 +57,8 @@
 	since  time.Time
 	synced bool
 	// placed has when this host first saw each placed attempt.
-	placed map[placedKey]time.Time
+	placed   map[placedKey]time.Time
+	failures failures
 }
 
 type placedKey struct {
@@ -96,7 +97,7 @@
 	}
 	if term != s.term {
 		s.term, s.since, s.synced = term, time.Now(), false
-		s.placed = map[placedKey]time.Time{}
+		s.placed, s.failures = map[placedKey]time.Time{}, failures{}
 	}
 	if !s.synced {
 		s.synced = s.barrier(ctx)
@@ -128,12 +129,13 @@
 	now := time.Now()
 	st := s.opts.State()
 	s.withdrawStuck(ctx, st, now)
+	s.judge(ctx, st, now)
 	p := s.opts.Planner.Plan(now, state.View(now, st, s.opts.Workers()))
 	for _, stop := range p.Stops {
 		s.stop(ctx, stop)
 	}
 	for _, park := range p.Parks {
-		s.park(ctx, park)
+		s.park(ctx, st.Jobs[park.Job], park.Reason)
 	}
 	for _, start := range p.Starts {
 		s.place(ctx, st.Jobs[start.Job], start)
@@ -157,9 +159,9 @@
 	})
 }
 
-func (s *Scheduler) park(ctx context.Context, d carawayshift.Park) {
-	log := s.opts.Logger.WithFields(logrus.Fields{"job": d.Job, "reason": d.Reason})
-	s.propose(ctx, log, "park", carawayshift.ParkJob, carawayshift.JobChange{ID: d.Job, Reason: d.Reason})
+func (s *Scheduler) park(ctx context.Context, job carawayshift.Job, reason string) {
+	log := s.opts.Logger.WithFields(logrus.Fields{"job": job.ID, "reason": reason})
+	s.propose(ctx, log, "park", carawayshift.ParkJob, carawayshift.JobChange{ID: job.ID, Attempt: job.Attempt, Reason: reason})
 }
 
 // withdrawStuck returns placed jobs to the queue when their zone does not
@@ -188,12 +190,17 @@
 	s.placed = seen
 }
 
-// propose sends one decision to the log. An unclear end needs no retry: the
-// next plan starts from the state that resulted.
 func (s *Scheduler) propose(ctx context.Context, log logrus.FieldLogger, verb string, kind carawayshift.CommandKind, ch carawayshift.JobChange) {
+	s.send(ctx, log, verb, carawayshift.Command{Kind: kind, Change: &ch})
+}
+
+// send proposes one decision. An unclear end needs no retry: the next plan
+// starts from the state that resulted.
+func (s *Scheduler) send(ctx context.Context, log logrus.FieldLogger, verb string, c carawayshift.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	answer, err := s.opts.Log.Propose(ctx, carawayshift.Command{Kind: kind, By: s.opts.Host, At: time.Now().UTC(), Change: &ch})
+	c.By, c.At = s.opts.Host, time.Now().UTC()
+	answer, err := s.opts.Log.Propose(ctx, c)
 	if err == nil {
 		err = answer.Err()
 	}
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -145,7 +145,7 @@
 func newVersions(o Options, m *state.Machine, mesh *host.Mesh) *versions {
 	v := &versions{opts: o, machine: m, mesh: mesh, last: map[string]seenVersion{}}
 	mesh.Handle("state.version", func(context.Context, string, []byte) ([]byte, error) {
-		return carawayshift.Encode(versionReply{Version: m.State().Version})
+		return carawayshift.Encode(versionReply{Version: m.Version()})
 	})
 	return v
 }
@@ -171,7 +171,7 @@
 }
 
 func (v *versions) ask(ctx context.Context, name string) {
-	reply := versionReply{Version: v.machine.State().Version}
+	reply := versionReply{Version: v.machine.Version()}
 	if name != v.opts.Settings.Host.Name {
 		b, err := v.mesh.Call(ctx, name, "state.version", nil)
 		if err != nil || carawayshift.Decode(b, &reply) != nil {
