--- a/internal/trace/generate.go
+++ b/internal/trace/generate.go
@@ -39,6 +39,12 @@
 	{3, 8, 8},
 }
 
+// preloadShapes give about 1.5 accelerators a task, so that 9,300 tasks fill
+// three quarters of 2,300 workers.
+var preloadShapes = []shape{
+	{40, 1, 1}, {20, 4, 2}, {15, 8, 1}, {10, 16, 2}, {5, 2, 8}, {5, 64, 1}, {5, 8, 2},
+}
+
 // generated is a job of the trace with its actual run time.
 type generated struct {
 	carawayshift.Job
@@ -55,7 +61,7 @@
 		at := time.Duration(rng.Float64() * float64(r.Submit))
 		team := weighted(rng, len(teams))
 		for n := 1 + int(rng.ExpFloat64()*burstMean); n > 0; n-- {
-			j := r.job(rng, teams[team].Name, at)
+			j := r.job(rng, pick(rng, shapes), teams[team].Name, at)
 			work += j.actual.Hours() * float64(j.Size())
 			out = append(out, j)
 			at += time.Duration(rng.IntN(2000)) * time.Millisecond
@@ -75,9 +81,8 @@
 func (r Replay) preload(rng *rand.Rand, teams []carawayshift.Team) []generated {
 	var out []generated
 	for tasks := 0; tasks < r.Preload; {
-		j := r.job(rng, teams[weighted(rng, len(teams))].Name, 0)
-		j.actual += r.Submit / 2
-		j.Declared += r.Submit / 2
+		j := r.job(rng, pick(rng, preloadShapes), teams[weighted(rng, len(teams))].Name, 0)
+		j.actual += time.Duration(rng.Float64() * 2 * float64(r.Submit))
 		j.Urgent = false
 		tasks += j.Tasks
 		out = append(out, j)
@@ -85,8 +90,7 @@
 	return out
 }
 
-func (r Replay) job(rng *rand.Rand, team string, at time.Duration) generated {
-	s := pick(rng)
+func (r Replay) job(rng *rand.Rand, s shape, team string, at time.Duration) generated {
 	actual := time.Duration(float64(minRun) * math.Pow(1-rng.Float64(), -1/tail))
 	j := generated{actual: min(actual, maxRun).Round(time.Second)}
 	j.Team, j.Tasks, j.Accelerators = team, s.tasks, s.accelerators
@@ -101,7 +105,7 @@
 	return j
 }
 
-func pick(rng *rand.Rand) shape {
+func pick(rng *rand.Rand, shapes []shape) shape {
 	n := rng.IntN(100)
 	for _, s := range shapes {
 		if n -= s.share; n < 0 {
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -51,11 +51,12 @@
 }
 
 // Large has the given number of workers, with teams and tasks in proportion to
-// 80 teams and 9,300 tasks on 2,300 workers.
+// 80 teams and 9,300 tasks on 2,300 workers. Jobs arrive at about ten times
+// the rate of an ordinary day (5,900 jobs), so that some always wait.
 func Large(workers int) Replay {
 	return Replay{
 		Objective: carawayshift.ObjectiveCompletion, Workers: workers, Zones: max(3, 18*workers/2300), Teams: max(4, 80*workers/2300),
-		Submit: time.Hour, Load: 1, Preload: 9300 * workers / 2300, End: time.Hour,
+		Submit: time.Hour, Load: 0.4, Preload: 9300 * workers / 2300, End: time.Hour,
 	}
 }
 
--- a/pkg/placement/borrowed.go
+++ b/pkg/placement/borrowed.go
@@ -17,7 +17,7 @@
 	maxReservations = 1
 	// reserveAfter is the wait after which a large gang gets a reservation.
 	// Until then it goes first whenever cells become free.
-	reserveAfter = 4 * time.Hour
+	reserveAfter = 8 * time.Hour
 )
 
 // reservation is the place that a large waiting gang gets next.
@@ -36,7 +36,7 @@
 	part := p.fairPart()
 	for i := range p.waiting {
 		g := &p.waiting[i]
-		if !g.settled && p.teams[g.team].borrowed+g.total() <= part {
+		if !g.settled && (p.reservable(g) || p.teams[g.team].borrowed+g.total() <= part) {
 			p.borrow(g)
 		}
 	}
@@ -80,21 +80,48 @@
 		p.start(g, ws, true, "ends before the reservation of a larger job", 0)
 		return
 	}
-	if g.total() >= cell.WorkerSize && len(p.reservations) < maxReservations && p.now.Sub(g.Submitted) >= reserveAfter {
+	if p.reservable(g) && len(p.reservations) < maxReservations {
 		p.reserve(g)
 	}
 }
 
+// reservable reports whether the gang is large and has waited long enough to
+// get a reservation. Such gangs are looked at before the smaller ones that
+// they hold back, also when their team uses more than its part.
+func (p *pass) reservable(g *gang) bool {
+	return g.total() >= cell.WorkerSize && p.now.Sub(g.Submitted) >= reserveAfter
+}
+
 // anywhere looks for a free place in the zones: adjacent cells first, then any
 // room of one zone, and only then workers where the job failed before.
 func (p *pass) anywhere(g *gang) []int {
 	if p.phys.FreeAll(cell.Level(g.units)) < g.Tasks {
 		return nil
 	}
+	if len(g.FailedOn) > 0 {
+		if ws := p.bestZone(g, p.avoid(g, true)); ws != nil {
+			return ws
+		}
+	}
+	return p.bestZone(g, p.avoid(g, false))
+}
+
+// avoid returns the workers that the gang must not use: those that run its
+// tasks in another size than assumed and, if failed is set, those on which it
+// failed before.
+func (p *pass) avoid(g *gang, failed bool) cell.Avoid {
+	return func(w int) bool {
+		return p.phys.Units(w, g.Job) != g.units ||
+			failed && slices.Contains(g.FailedOn, p.phys.Worker(w).Name)
+	}
+}
+
+// bestZone searches all zones and returns the place that fits best.
+func (p *pass) bestZone(g *gang, avoid cell.Avoid) []int {
 	var best []int
 	least := 0
 	for z := range p.phys.Zones() {
-		ws := p.findIn(z, g)
+		ws := p.findIn(z, g, avoid)
 		if ws == nil {
 			continue
 		}
@@ -105,20 +132,11 @@
 	return best
 }
 
-func (p *pass) findIn(z int, g *gang) []int {
+func (p *pass) findIn(z int, g *gang, avoid cell.Avoid) []int {
 	if g.units == 0 || p.phys.Free(z, cell.Level(g.units)) < g.Tasks {
 		return nil
 	}
-	small := func(w int) bool { return p.phys.Units(w, g.Job) != g.units }
-	if len(g.FailedOn) > 0 {
-		avoid := func(w int) bool {
-			return small(w) || slices.Contains(g.FailedOn, p.phys.Worker(w).Name)
-		}
-		if ws := p.search(z, g, avoid); ws != nil {
-			return ws
-		}
-	}
-	return p.search(z, g, small)
+	return p.search(z, g, avoid)
 }
 
 func (p *pass) search(z int, g *gang, avoid cell.Avoid) []int {
--- a/pkg/placement/explain.go
+++ b/pkg/placement/explain.go
@@ -191,18 +191,22 @@
 // slots returns the largest number of tasks that one zone could hold if it
 // were empty: on workers that take work, and on all workers.
 func (p *pass) slots(g *gang) (use, all int) {
+	key := slotKey{g.Accelerators, g.Cores, g.Memory}
+	if n, ok := p.slotCache[key]; ok {
+		return n[0], n[1]
+	}
 	for z := range p.phys.Zones() {
 		use = max(use, p.slotsIn(z, g, false))
 		all = max(all, p.slotsIn(z, g, true))
 	}
+	if p.slotCache == nil {
+		p.slotCache = make(map[slotKey][2]int)
+	}
+	p.slotCache[key] = [2]int{use, all}
 	return use, all
 }
 
 func (p *pass) slotsIn(z int, g *gang, all bool) int {
-	key := slotKey{z, g.Accelerators, g.Cores, g.Memory, all}
-	if n, ok := p.slotCache[key]; ok {
-		return n
-	}
 	n := 0
 	for _, r := range p.phys.ZoneRacks(z) {
 		for _, w := range p.phys.RackWorkers(r) {
@@ -215,18 +219,11 @@
 			}
 		}
 	}
-	if p.slotCache == nil {
-		p.slotCache = make(map[slotKey]int)
-	}
-	p.slotCache[key] = n
 	return n
 }
 
-// slotKey addresses a memoised result of slotsIn.
-type slotKey struct {
-	zone, accelerators, cores, memory int
-	all                               bool
-}
+// slotKey is what the places for a task depend on.
+type slotKey struct{ accelerators, cores, memory int }
 
 // outsideGuarantee says why the gang is not charged to its team's guarantee.
 func (p *pass) outsideGuarantee(g *gang) string {
--- a/pkg/placement/order.go
+++ b/pkg/placement/order.go
@@ -78,8 +78,7 @@
 // that keeps the due time. A job without a due time gets one that is a
 // multiple of its run time after its submission, so short jobs go first and
 // every job moves to the front as it ages. Large gangs count as older, see
-// sizeAge. Packing leaves the run time out, so that large gangs start in the
-// order of their submission. A due time never makes a job later than it would be without one.
+// sizeAge. A due time never makes a job later than it would be without one.
 // The key does not depend on the present time, so the order is stable between
 // plans.
 func (m *model) sortWaiting() {
@@ -87,23 +86,37 @@
 		g := &m.waiting[i]
 		g.key = m.latestStart(g)
 	}
-	slices.SortFunc(m.waiting, func(a, b gang) int {
-		if a.Urgent != b.Urgent {
-			if a.Urgent {
-				return -1
-			}
-			return 1
+	// Gangs are large structs: an index is sorted and they move once.
+	order := make([]int, len(m.waiting))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return m.waiting[a].compare(&m.waiting[b]) })
+	sorted := make([]gang, len(order))
+	for i, k := range order {
+		sorted[i] = m.waiting[k]
+	}
+	m.waiting = sorted
+}
+
+func (g *gang) compare(o *gang) int {
+	if g.Urgent != o.Urgent {
+		if g.Urgent {
+			return -1
 		}
-		return cmp.Or(a.key.Compare(b.key), cmp.Compare(a.ID, b.ID))
-	})
+		return 1
+	}
+	return cmp.Or(g.key.Compare(o.key), cmp.Compare(g.ID, o.ID))
 }
 
 func (m *model) latestStart(g *gang) time.Time {
-	size := sizeAge * time.Duration(cell.Level(g.total()))
-	key := g.Submitted.Add(-size)
-	if m.view.Objective != carawayshift.ObjectivePacking {
-		key = key.Add(stretch * g.estimate)
+	if g.Urgent {
+		// A later urgent job must not take the cell that is being reclaimed
+		// for an earlier one, which would then miss its 8.5 s.
+		return g.Submitted
 	}
+	size := sizeAge * time.Duration(cell.Level(g.total()))
+	key := g.Submitted.Add(stretch*g.estimate - size)
 	if g.Due.IsZero() {
 		return key
 	}
--- a/pkg/placement/pass.go
+++ b/pkg/placement/pass.go
@@ -18,8 +18,11 @@
 	reservations []reservation
 	// ends lists the active gangs of each zone by expected end, once needed.
 	ends      [][]int
-	slotCache map[slotKey]int
+	slotCache map[slotKey][2]int
 	waitCache map[waitKey]carawayshift.Wait
+	// full marks shapes for which a team has no guarantee cell left. Room in
+	// a guarantee only shrinks during a plan.
+	full map[fullKey]bool
 }
 
 // park sets aside jobs that no present kind of worker can run. The kinds
@@ -142,10 +145,10 @@
 	for _, i := range order {
 		g := &p.waiting[i]
 		if c, ok := p.bestCell(g); ok && c.free() {
-			p.charge1(g, c, "largest waiting gang for a zone that returned")
+			p.chargeTo(g, c, "largest waiting gang for a zone that returned")
 			continue
 		}
-		if ws := p.findIn(z, g); ws != nil {
+		if ws := p.findIn(z, g, p.avoid(g, false)); ws != nil {
 			p.start(g, ws, true, "largest waiting gang for a zone that returned", p.alternatives(g))
 		}
 	}
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -35,7 +35,8 @@
 
 // CheckGuarantees returns an Error of kind Refused that names the cells that
 // are short, and the free cells of each zone, when the guarantees of all teams
-// can't be packed on the workers that take work. Running jobs don't count.
+// can't be packed on the workers that take work, or not around the guaranteed
+// work that is running there.
 func (Planner) CheckGuarantees(v carawayshift.View) error {
 	f := cell.New(v.Zones, v.Workers)
 	var cells []carawayshift.CellCount
@@ -49,7 +50,7 @@
 	}
 	short := f.Short(cells)
 	if len(short) == 0 {
-		return nil
+		return checkRunning(&v)
 	}
 	text := fmt.Sprintf("the guarantees of all teams need %s more than there is room for: %s",
 		formatCells(short), formatZones(f, short[0].Size))
@@ -57,6 +58,19 @@
 		fmt.Sprintf("lower a guarantee by %s, or return a zone or workers to service", formatCells(short)))
 }
 
+// checkRunning refuses guarantees that would need running guaranteed work to
+// move.
+func checkRunning(v *carawayshift.View) error {
+	m := newModel(time.Time{}, v)
+	level, n := m.guard.ShortAt(&m.need)
+	if n == 0 {
+		return nil
+	}
+	return carawayshift.NewError(carawayshift.Refused,
+		fmt.Sprintf("running guaranteed work leaves no room for %dx%d: %s", n, 1<<level, formatZones(m.guard, 1<<level)),
+		"repeat the statement when guaranteed jobs have ended, or lower a guarantee")
+}
+
 func checkCell(team string, c carawayshift.CellCount) error {
 	if c.Count >= 0 && c.Size > 0 && c.Size&(c.Size-1) == 0 && c.Size < 1<<cell.Levels {
 		return nil
--- a/pkg/placement/reclaim.go
+++ b/pkg/placement/reclaim.go
@@ -48,25 +48,37 @@
 // guaranteed places the waiting jobs that fit their team's guarantee, and
 // stops borrowed work where no cell is free.
 func (p *pass) guaranteed() {
+	p.full = make(map[fullKey]bool)
 	for i := range p.waiting {
 		g := &p.waiting[i]
 		if g.settled {
 			continue
 		}
+		key := fullKey{g.team, g.Tasks, slotKey{g.Accelerators, g.Cores, g.Memory}}
+		if p.full[key] {
+			continue
+		}
 		c, ok := p.bestCell(g)
 		if !ok {
+			p.full[key] = true
 			continue
 		}
 		if c.free() {
-			p.charge1(g, c, "fits the team's guarantee")
+			p.chargeTo(g, c, "fits the team's guarantee")
 			continue
 		}
 		p.reclaim(g, c)
 	}
 }
 
-// charge1 starts a gang in a free candidate and charges it.
-func (p *pass) charge1(g *gang, c *candidate, reason string) {
+// fullKey is a team with what decides whether a gang fits its guarantee.
+type fullKey struct {
+	team, tasks int
+	task        slotKey
+}
+
+// chargeTo starts a gang in a free candidate and charges it.
+func (p *pass) chargeTo(g *gang, c *candidate, reason string) {
 	p.take(g, c)
 	p.start(g, p.perTask(g, c.workers), false, reason, p.alternatives(g))
 }
