--- a/internal/gang/directed_test.go
+++ b/internal/gang/directed_test.go
@@ -74,7 +74,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			inBench(t, func(g Gomega, b *bench) {
-				b.freezeOn(b.l.holder, "/tasks/start", tt.freeze)
+				b.freezeOn(b.l.current(), "/tasks/start", tt.freeze)
 				b.submit(3, time.Minute)
 				time.Sleep(300 * time.Millisecond)
 				b.operator(carawayshift.Command{Kind: carawayshift.DrainZone, Zone: &carawayshift.Zone{Name: "belmont"}})
@@ -94,7 +94,7 @@
 		b.submit(1, 10*time.Minute)
 		b.avoid = "w0"
 		time.Sleep(time.Second)
-		first := b.l.holder
+		first := b.l.current()
 		for _, h := range hostNames {
 			if h != first {
 				b.cutLink(h, "w0")
@@ -106,7 +106,7 @@
 		// just before the task's lease of 15 s would have expired.
 		b.freezeOn(first, "/tasks/renew", 9500*time.Millisecond)
 		time.Sleep(9 * time.Second)
-		g.Expect(b.l.holder).NotTo(Equal(first), "the zone lease should have moved")
+		g.Expect(b.l.current()).NotTo(Equal(first), "the zone lease should have moved")
 		b.stopAll()
 		for range 90 {
 			time.Sleep(time.Second)
@@ -126,7 +126,7 @@
 		b.submit(1, 10*time.Minute)
 		b.avoid = "w0"
 		time.Sleep(time.Second)
-		first := b.l.holder
+		first := b.l.current()
 		b.cutLink(first, "leader")
 		for _, h := range hostNames {
 			if h != first {
@@ -138,7 +138,7 @@
 			time.Sleep(time.Second)
 			b.place()
 		}
-		g.Expect(b.l.holder).NotTo(Equal(first))
+		g.Expect(b.l.current()).NotTo(Equal(first))
 		g.Expect(b.l.machine.State().Jobs[1].Attempt).To(Equal(2))
 		checkAttempts(g, b.l.machine.State(), b.history())
 	})
--- a/internal/gang/fake_test.go
+++ b/internal/gang/fake_test.go
@@ -161,6 +161,13 @@
 	return a
 }
 
+// current returns the holder of the zone lease.
+func (l *leader) current() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder
+}
+
 // grant renews the holder's lease, or gives it to the host when it has
 // expired. A zone that is out gets none.
 func (l *leader) grant(host string) (epoch uint64, ok bool) {
--- a/internal/gang/history_test.go
+++ b/internal/gang/history_test.go
@@ -47,6 +47,8 @@
 	ctx    context.Context
 	wg     sync.WaitGroup
 	drains []window
+	// commands counts the operators' commands, for their ids.
+	commands int
 	// avoid names a worker that gets no new placements.
 	avoid  string
 	logger logrus.FieldLogger
@@ -77,7 +79,8 @@
 }
 
 func (b *bench) operator(c carawayshift.Command) carawayshift.Answer {
-	c.ID, c.By, c.At = fmt.Sprint("op", b.l.index), "night", time.Now()
+	b.commands++
+	c.ID, c.By, c.At = fmt.Sprint("op", b.commands), "night", time.Now()
 	return b.l.apply(c)
 }
 
@@ -144,7 +147,7 @@
 			name := fmt.Sprintf("w%d", i)
 			if !busy[name] && name != b.avoid && len(ch.Placements) < j.Tasks {
 				ch.Placements = append(ch.Placements, carawayshift.TaskPlacement{
-					Task: len(ch.Placements), Worker: name, Incarnation: b.incarnation(name), Accelerators: 8,
+					Task: len(ch.Placements), Worker: name, Incarnation: uint64(bubbleStart.UnixMilli()), Accelerators: 8,
 				})
 			}
 		}
@@ -158,12 +161,9 @@
 	}
 }
 
-func (b *bench) incarnation(name string) uint64 { return b.start(name) }
-
-func (b *bench) start(string) uint64 { return uint64(epochStart.UnixMilli()) }
-
-// epochStart is the time at which every synctest bubble starts.
-var epochStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+// bubbleStart is the time at which every synctest bubble starts, and so the
+// incarnation of the stand-in workers.
+var bubbleStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func sortedJobs(st carawayshift.State) []uint64 {
 	var ids []uint64
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,9 +20,11 @@
 // log applies commands at once; the test chooses the leader.
 type log struct {
 	machine *state.Machine
-	index   uint64
-	leader  string
-	term    uint64
+
+	mu     sync.Mutex
+	index  uint64
+	leader string
+	term   uint64
 }
 
 func (l *log) Propose(_ context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
@@ -29,14 +32,27 @@
 	if err != nil {
 		return carawayshift.Answer{}, err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.index++
 	var a carawayshift.Answer
 	err = carawayshift.Decode(l.machine.Apply(l.index, b), &a)
 	return a, err
 }
 
-func (l *log) Barrier(context.Context) (uint64, error) { return l.index, nil }
-func (l *log) Leader() (string, uint64)                { return l.leader, l.term }
+func (l *log) Barrier(context.Context) (uint64, error) { return 0, nil }
+
+func (l *log) Leader() (string, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leader, l.term
+}
+
+func (l *log) lead(host string, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leader, l.term = host, term
+}
 
 // firstFit places each waiting job of one task on the first worker that takes
 // new work and on which the job has not failed.
@@ -95,7 +111,7 @@
 }
 
 func (w world) operator(c carawayshift.Command) carawayshift.Answer {
-	c.ID, c.By, c.At = fmt.Sprint("op", w.index), "night", time.Now()
+	c.ID, c.By, c.At = fmt.Sprint("op", w.machine.Version()), "night", time.Now()
 	a, err := w.Propose(context.Background(), c)
 	w.g.Expect(err).NotTo(HaveOccurred())
 	w.g.Expect(a.Err()).NotTo(HaveOccurred())
@@ -126,11 +142,11 @@
 // Guards against two hosts that plan at the same time after a leader change.
 func TestOnlyTheLeaderPlans(t *testing.T) {
 	inWorld(t, 1, func(w world) {
-		w.leader = "h2"
+		w.lead("h2", 1)
 		id := w.submit()
 		w.settle()
 		w.g.Expect(w.job(id).State).To(Equal(carawayshift.JobWaiting))
-		w.leader, w.term = "h1", 2
+		w.lead("h1", 2)
 		w.settle()
 		w.g.Expect(w.job(id).State).To(Equal(carawayshift.JobPlaced))
 	})
