--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"carawayshift.example/carawayshift"
@@ -180,3 +181,43 @@
 	_, err = j.Entries(1000, 1, 1)
 	w.Expect(err).To(MatchError(journal.ErrCompacted))
 }
+
+// BenchmarkAppend measures one synced record on the real file system.
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range []int{1, 64} {
+		b.Run(fmt.Sprint("entries=", n), func(b *testing.B) {
+			j, err := journal.Open(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if err := j.Append(entries(int(j.Last())+1, n, 1)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(j.LogSize())/float64(j.Last()), "B/entry")
+		})
+	}
+}
+
+// BenchmarkOpen measures the replay of 1,000 records of one entry.
+func BenchmarkOpen(b *testing.B) {
+	dir := b.TempDir()
+	for i := range 1000 {
+		j, err := journal.Open(dir)
+		if err != nil {
+			b.Fatal(err)
+		}
+		err = j.Append(entries(i+1, 1, 1))
+		if err = errors.CombineErrors(err, j.Close()); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		j, err := journal.Open(dir)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = j.Close()
+	}
+}
--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -246,7 +246,7 @@
 func (r *Replica) sendAppend(ctx context.Context, l *leadership, p *peer, round uint64, req appendRequest) error {
 	r.mu.Lock()
 	req.Commit = r.commit
-	if len(req.Entries) > 0 || p.sentCommit < r.commit {
+	if p.sentCommit < r.commit {
 		req.Acked = maps.Clone(r.acked)
 	}
 	p.sentCommit = r.commit
