Send late acknowledgements with the next heartbeat

Change: a call without entries carries the acknowledged indexes when they have changed since the last call that did. Conclusion: within one heartbeat of an acknowledgement, an older disk is known only to the leader.

--- a/pkg/replica/leader.go
+++ b/pkg/replica/leader.go
@@ -46,6 +46,7 @@
 	contact     time.Time // when the last answered call was sent
 	sentRound   uint64
 	sentCommit  uint64
+	sentNews    uint64 // ackedNews as of the last call that carried it
 	refused     bool
 }
 
@@ -246,8 +247,9 @@
 func (r *Replica) sendAppend(ctx context.Context, l *leadership, p *peer, round uint64, req appendRequest) error {
 	r.mu.Lock()
 	req.Commit = r.commit
-	if p.sentCommit < r.commit {
+	if p.sentCommit < r.commit || (len(req.Entries) == 0 && p.sentNews < r.ackedNews) {
 		req.Acked = maps.Clone(r.acked)
+		p.sentNews = r.ackedNews
 	}
 	p.sentCommit = r.commit
 	r.mu.Unlock()
@@ -271,11 +273,12 @@
 	return nil
 }
 
-// retryCommit makes the next call carry the commit index again.
+// retryCommit makes the next call carry the commit index and the acknowledged
+// indexes again.
 func (r *Replica) retryCommit(p *peer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.sentCommit = 0
+	p.sentCommit, p.sentNews = 0, 0
 }
 
 // noteReply needs r.mu.
--- a/pkg/replica/members.go
+++ b/pkg/replica/members.go
@@ -119,8 +119,9 @@
 // and not by host: late news of a lost disk says nothing about the new one.
 func (r *Replica) noteAcked(acked map[uint64]uint64) {
 	for identity, index := range acked {
-		if holds(r.members(), identity) {
-			r.acked[identity] = max(r.acked[identity], index)
+		if index > r.acked[identity] && holds(r.members(), identity) {
+			r.acked[identity] = index
+			r.ackedNews++
 		}
 	}
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -138,6 +138,7 @@
 	hard      journal.HardState
 	configs   []config
 	acked     map[uint64]uint64 // last committed entry that a disk had, by identity
+	ackedNews uint64            // counts the changes of acked
 	leader    string            // of hard.Term, "" when unknown
 	heard     time.Time         // last message of a leader
 	voted     time.Time         // last vote for another host
--- a/pkg/replica/wire.go
+++ b/pkg/replica/wire.go
@@ -63,7 +63,8 @@
 	// To is the disk identity of the receiver in the leader's membership.
 	To      uint64      `cbor:"5,keyasint"`
 	Entries []wireEntry `cbor:"6,keyasint,omitempty"`
-	// Acked is sent with a new commit index, not at rest.
+	// Acked is sent with a new commit index, and with the next heartbeat after
+	// a member caught up.
 	Acked map[uint64]uint64 `cbor:"7,keyasint,omitempty"`
 	// Refused tells the receiver that its folder is older than what it
 	// acknowledged.
