--- a/internal/caller/zone_test.go
+++ b/internal/caller/zone_test.go
@@ -131,13 +131,10 @@
 		w.zones = append(w.zones, carawayshift.Zone{Name: z, Region: z[:1]})
 	}
 	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.dial, MaxIdleConnsPerHost: 1000}}
-	t.Cleanup(func() {})
-	w.stopAll(cancel)
+	t.Cleanup(cancel)
 	return w
 }
 
-func (w *world) stopAll(cancel context.CancelFunc) { w.t.Cleanup(cancel) }
-
 // close stops everything; a bubble must not end with goroutines.
 func (w *world) close() {
 	for _, h := range w.hosts {
