follower: tell peers before a change is shown; metrics and log lines

A Barrier also stopped at the first voter that did not answer. Ruled out: readiness by the leader only, since a zone that is cut off for an hour would lose every host that restarts; raising the floor of the peers themselves, since they would become not ready. Change: a host that pulls from a voter names the index to its live peers before it applies, waiting 0.3 s at most; Barrier asks one voter after the other for 1 s each. Gauges for the age and index of the copy and for the held lease, counters for calls and grants, a log line for each change of source. A host that was cut off from all its peers when it applied a change is not covered; the comment says so.

--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -58,9 +58,21 @@
 	}
 	conn, err := m.connect(ctx, p)
 	if err != nil {
+		m.countCall(host, err)
 		return nil, err
 	}
-	return m.exchange(ctx, p, conn, frame)
+	out, err := m.exchange(ctx, p, conn, frame)
+	m.countCall(host, err)
+	return out, err
+}
+
+// countCall counts a call by the kind of its error.
+func (m *Mesh) countCall(host string, err error) {
+	end := "ok"
+	if err != nil {
+		end = string(carawayshift.KindOf(err))
+	}
+	m.count("carawayshift_mesh_calls_total", "peer", host, "end", end)
 }
 
 func encodeRequest(ctx context.Context, method string, body []byte) ([]byte, error) {
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -31,6 +31,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
@@ -98,6 +99,8 @@
 	// named by Voters too.
 	Members func() []string
 	Logger  logrus.FieldLogger
+	// Metrics gets the age and the index of the copy.
+	Metrics *metrics.Set
 }
 
 // Seen is what the leader knows of a host's copy.
@@ -120,6 +123,9 @@
 	applied uint64
 	// floor is the highest index that this host or a peer has shown.
 	floor uint64
+	// heard is the highest index that a peer said it was about to show. It
+	// counts for peers that ask, not for this host's readiness.
+	heard uint64
 	// fresh is the last time at which the copy held everything that was
 	// committed, as far as a voter with a leader knew.
 	fresh time.Time
@@ -134,6 +140,8 @@
 	size    int
 	changed chan struct{}
 	skip    map[string]passed
+	// from is the source of the last pull.
+	from string
 	// progress maps hosts that pull here, or that reported here, to what
 	// they have applied.
 	progress map[string]Seen
@@ -152,6 +160,7 @@
 		cfg: cfg, changed: make(chan struct{}), skip: map[string]passed{},
 		progress: map[string]Seen{}, dirty: make(chan struct{}, 1),
 	}
+	f.measure()
 	cfg.Transport.Handle(methodPull, f.handlePull)
 	cfg.Transport.Handle(methodSnapshot, f.handleSnapshot)
 	cfg.Transport.Handle(methodFloor, f.handleFloor)
@@ -161,6 +170,15 @@
 	return f
 }
 
+// measure registers the gauges of a copy.
+func (f *Follower) measure() {
+	if f.cfg.Metrics == nil || f.cfg.Source != nil {
+		return
+	}
+	f.cfg.Metrics.NewGauge("carawayshift_follower_age_seconds", func() float64 { return f.Age().Seconds() })
+	f.cfg.Metrics.NewGauge("carawayshift_follower_applied_index", func() float64 { return float64(f.Applied()) })
+}
+
 // Run keeps the copy up to date until ctx ends. On a voter it passes the
 // progress of its zone's hosts on to the leader.
 func (f *Follower) Run(ctx context.Context) {
--- a/pkg/follower/forward.go
+++ b/pkg/follower/forward.go
@@ -33,9 +33,21 @@
 	if f.cfg.Log != nil {
 		return f.cfg.Log.Barrier(ctx)
 	}
-	var out barrier
-	err := f.forward(ctx, methodBarrier, barrier{}, &out)
-	return out.Index, err
+	return f.barrierAt(ctx)
+}
+
+// barrierAt asks one voter after the other, because a lost call of a read
+// does no harm.
+func (f *Follower) barrierAt(ctx context.Context) (uint64, error) {
+	err := error(carawayshift.NewError(carawayshift.NotRun, "no voter is known", "check [peers] in the settings"))
+	for _, host := range f.askOrder() {
+		var out barrier
+		err = f.call(ctx, barrierWait, host, methodBarrier, barrier{}, &out)
+		if err == nil || ctx.Err() != nil {
+			return out.Index, err
+		}
+	}
+	return 0, err
 }
 
 // Leader implements carawayshift.Log. It is as old as the copy.
@@ -55,13 +67,8 @@
 	if err != nil {
 		return err
 	}
-	hosts := slices.Clone(f.cfg.Voters())
-	if leader, _ := f.Leader(); leader != "" {
-		hosts = slices.DeleteFunc(hosts, func(h string) bool { return h == leader })
-		hosts = append([]string{leader}, hosts...)
-	}
 	err = carawayshift.NewError(carawayshift.NotRun, "no voter is known", "check [peers] in the settings")
-	for _, host := range hosts {
+	for _, host := range f.askOrder() {
 		var reply []byte
 		reply, err = f.cfg.Transport.Call(ctx, host, method, body)
 		if err == nil {
@@ -74,6 +81,16 @@
 	return err
 }
 
+// askOrder lists the voters, the leader first.
+func (f *Follower) askOrder() []string {
+	hosts := slices.Clone(f.cfg.Voters())
+	if leader, _ := f.Leader(); leader != "" {
+		hosts = slices.DeleteFunc(hosts, func(h string) bool { return h == leader })
+		hosts = append([]string{leader}, hosts...)
+	}
+	return hosts
+}
+
 func (f *Follower) handlePropose(ctx context.Context, _ string, body []byte) ([]byte, error) {
 	var c carawayshift.Command
 	if err := carawayshift.Decode(body, &c); err != nil {
--- a/pkg/follower/pull.go
+++ b/pkg/follower/pull.go
@@ -38,6 +38,7 @@
 	wait := retryMin
 	for ctx.Err() == nil {
 		source, before, began := f.source(), f.Applied(), time.Now()
+		f.logSource(source)
 		err := f.pull(ctx, source)
 		if err != nil {
 			f.passOver(source)
@@ -56,6 +57,22 @@
 	}
 }
 
+// logSource logs a change of the source.
+func (f *Follower) logSource(source string) {
+	f.mu.Lock()
+	old := f.from
+	f.from = source
+	f.mu.Unlock()
+	if source == old {
+		return
+	}
+	reason := "relay of the zone"
+	if slices.Contains(f.cfg.Voters(), source) {
+		reason = "voter"
+	}
+	f.cfg.Logger.WithFields(logrus.Fields{"source": source, "before": old, "reason": reason, "alternatives": len(f.sources()) - 1}).Info("source of the state chosen")
+}
+
 // source chooses where to pull: a voter of the zone, else the zone's hosts in
 // name order, this one standing for the voters. Sources that failed or were
 // too old are passed over for a while; when all were, the one that failed
@@ -135,6 +152,9 @@
 	if r.Compacted {
 		return f.fetch(ctx, source, from)
 	}
+	if len(r.Entries) > 0 && slices.Contains(f.cfg.Voters(), source) {
+		f.warn(ctx, from+uint64(len(r.Entries))-1)
+	}
 	f.apply(from, r.Entries)
 	return f.refresh(source, sent, r)
 }
@@ -231,6 +251,7 @@
 		}
 		state = append(state, r.Data...)
 		if len(state) >= r.Total {
+			f.warn(ctx, r.Index)
 			return f.restore(r.Index, from, state)
 		}
 		if len(r.Data) == 0 {
--- a/pkg/follower/ready.go
+++ b/pkg/follower/ready.go
@@ -2,12 +2,24 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"carawayshift.example/carawayshift"
 )
 
-const floorRetry = 200 * time.Millisecond
+const (
+	floorRetry = 200 * time.Millisecond
+	// warnWait bounds the delay of a change by a peer that does not answer.
+	warnWait = 300 * time.Millisecond
+	// barrierWait leaves time to ask further voters within one callWait.
+	barrierWait = time.Second
+)
+
+// floorNotice says what a host is about to show.
+type floorNotice struct {
+	Index uint64 `cbor:"1,keyasint,omitempty"`
+}
 
 type floorReply struct {
 	Index uint64 `cbor:"1,keyasint"`
@@ -41,9 +53,11 @@
 // is not ready may have shown more before its own restart. Two hosts that
 // restart at once while the zone is cut off therefore both wait for the leader.
 // A host of the zone that is down can't be asked.
+// What this host had shown in a former run is known to the peers, unless it was
+// cut off from all of them when it applied it.
 func (f *Follower) findFloor(ctx context.Context) {
 	for {
-		if index, err := f.boundedBarrier(ctx); err == nil {
+		if index, err := f.Barrier(ctx); err == nil {
 			f.setFloor(index, true)
 			return
 		}
@@ -56,17 +70,11 @@
 	}
 }
 
-func (f *Follower) boundedBarrier(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callWait)
-	defer cancel()
-	return f.Barrier(ctx)
-}
-
 func (f *Follower) askPeers(ctx context.Context) bool {
 	peers := f.cfg.Members()
 	for _, host := range peers {
 		var r floorReply
-		if err := f.call(ctx, callWait, host, methodFloor, floorReply{}, &r); err != nil || !r.Ready {
+		if err := f.call(ctx, callWait, host, methodFloor, floorNotice{}, &r); err != nil || !r.Ready {
 			return false
 		}
 		f.setFloor(r.Index, false)
@@ -77,6 +85,20 @@
 	return len(peers) > 0
 }
 
+// warn tells the live hosts of the zone what this host is about to apply, so
+// that they can name the floor when this host restarts before they have it. It
+// is called on hosts that pull from a voter; any other host's source has
+// applied what it gives.
+func (f *Follower) warn(ctx context.Context, index uint64) {
+	var wg sync.WaitGroup
+	for _, host := range f.cfg.Members() {
+		wg.Go(func() {
+			_ = f.call(ctx, warnWait, host, methodFloor, floorNotice{Index: index}, new(floorReply))
+		})
+	}
+	wg.Wait()
+}
+
 func (f *Follower) setFloor(index uint64, checked bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -84,12 +106,17 @@
 	f.checked = f.checked || checked
 }
 
-func (f *Follower) handleFloor(context.Context, string, []byte) ([]byte, error) {
+func (f *Follower) handleFloor(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var in floorNotice
+	if err := carawayshift.Decode(body, &in); err != nil {
+		return nil, err
+	}
 	if f.cfg.Source != nil {
 		return carawayshift.Encode(floorReply{Index: f.cfg.Source.Commit(), Ready: true})
 	}
 	ready := f.Ready() == nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return carawayshift.Encode(floorReply{Index: f.floor, Ready: ready})
+	f.heard = max(f.heard, in.Index)
+	return carawayshift.Encode(floorReply{Index: max(f.floor, f.heard), Ready: ready})
 }
--- a/pkg/lease/leader.go
+++ b/pkg/lease/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -52,8 +53,8 @@
 	// the new epoch makes that message void.
 	if g.holder != from || in.Term != term || in.Epoch != g.epoch {
 		t.epoch++
+		t.noteGrant(in.Zone, g.holder, from)
 		g = grant{holder: from, epoch: t.epoch}
-		t.cfg.Log.WithFields(logrus.Fields{"zone": in.Zone, "holder": from, "term": term, "epoch": g.epoch}).Info("zone lease granted")
 	}
 	if until := arrived.Add(t.length); until.After(g.until) {
 		g.until = until
@@ -62,6 +63,15 @@
 	return renewReply{Granted: true, Term: term, Epoch: g.epoch}
 }
 
+// noteGrant logs and counts a new lease. It is called with t.mu held.
+func (t *Table) noteGrant(zone, before, holder string) {
+	t.cfg.Metrics.GetOrCreateCounter(fmt.Sprintf("carawayshift_leases_granted_total{zone=%q}", zone)).Inc()
+	t.cfg.Log.WithFields(logrus.Fields{
+		"zone": zone, "holder": holder, "before": before, "term": t.term, "epoch": t.epoch,
+		"alternatives": len(t.cfg.Candidates(zone)) - 1,
+	}).Info("zone lease granted")
+}
+
 // handleRelease frees a lease at once. A release that names another lease
 // than the recorded one is late and changes nothing.
 func (t *Table) handleRelease(_ context.Context, from string, body []byte) ([]byte, error) {
--- a/pkg/lease/table.go
+++ b/pkg/lease/table.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -70,6 +71,8 @@
 	// Candidates lists the hosts that may hold the lease of a zone.
 	Candidates func(zone string) []string
 	Log        logrus.FieldLogger
+	// Metrics counts new leases and says whether this host holds one.
+	Metrics *metrics.Set
 }
 
 // Lease is a zone lease as its holder sees it. Of two leases of a zone the
@@ -134,10 +137,14 @@
 	if cfg.Log == nil {
 		cfg.Log = logrus.StandardLogger()
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	t := &Table{
 		cfg: cfg, length: Length, validity: Validity, wait: electionWait,
 		granted: map[string]grant{}, revoking: map[string]int{},
 	}
+	cfg.Metrics.NewGauge("carawayshift_lease_held", t.gauge)
 	t.handlers = map[string]carawayshift.Handler{
 		methodRenew: t.handleRenew, methodRelease: t.handleRelease, methodRevoke: t.handleRevoke,
 	}
@@ -147,6 +154,14 @@
 	return t
 }
 
+// gauge is 1 while this host holds the lease of its zone.
+func (t *Table) gauge() float64 {
+	if _, ok := t.Valid(); ok {
+		return 1
+	}
+	return 0
+}
+
 // Run watches for leadership and keeps the lease of the host's zone until ctx
 // ends. A lease that is held then runs out unless Release was called.
 func (t *Table) Run(ctx context.Context) {
--- a/pkg/lease/table_test.go
+++ b/pkg/lease/table_test.go
@@ -263,7 +263,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(1)
-		leader := New(Config{Host: "c1", Transport: link{w, "c1"}, In: func(string) bool { return true }})
+		in, ask := func(string) bool { return true }, func(string) []string { return ownHosts }
+		leader := New(Config{Host: "c1", Transport: link{w, "c1"}, In: in, Candidates: ask})
 		leader.wait = leader.wait * 100 / 101
 		leader.lead(2)
 		last := time.Now() // the predecessor's last grant, in the worst case
