placement: refuse guarantees that running guaranteed work is in the way of

Cause: the binding search may leave a gang without a cell, which is right after its guarantee was lowered. CheckGuarantees took this way out as well and accepted a guarantee that another team's running work blocks. Tests for this, for drain batches and for the refill order under completion were missing.

Change: CheckGuarantees refuses when a running guaranteed job has no cell although its team has an unused one of its size.

--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -66,13 +66,21 @@
 // move.
 func checkRunning(v *carawayshift.View) error {
 	m := newModel(time.Time{}, v)
-	level, n := m.guard.ShortAt(&m.need)
-	if n == 0 {
-		return nil
+	for i := range m.gangs {
+		g := &m.gangs[i]
+		if g.guaranteed || g.Borrowed || g.State == carawayshift.JobStopping || len(g.takes) == 0 {
+			continue
+		}
+		// Without an unused cell the guarantee was lowered below the job, which
+		// is borrowed work from then on.
+		if len(m.levelsFor(&m.teams[g.team], unitsIn(g.takes))) == 0 {
+			continue
+		}
+		return carawayshift.NewError(carawayshift.Refused,
+			fmt.Sprintf("running guaranteed job %d of team %s is in the way of the other guarantees", g.ID, g.Team),
+			"repeat the statement when the job has ended, or lower a guarantee")
 	}
-	return carawayshift.NewError(carawayshift.Refused,
-		fmt.Sprintf("running guaranteed work leaves no room for %dx%d: %s", n, 1<<level, formatZones(m.guard, 1<<level)),
-		"repeat the statement when guaranteed jobs have ended, or lower a guarantee")
+	return nil
 }
 
 func checkCell(team string, c carawayshift.CellCount) error {
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -157,7 +157,7 @@
 	g.Expect(p.Stops).NotTo(BeEmpty())
 	g.Expect(p.Stops[0].Job).To(BeNumerically("==", 4), "the latest checkpoint goes first")
 
-	w.view.Jobs = nil
+	w.view.Jobs, w.view.Objective = nil, carawayshift.ObjectiveCompletion
 	w.view.Zones[0].Out = false
 	w.view.Workers = w.view.Workers[:6]
 	for range 3 {
@@ -167,6 +167,40 @@
 	g.Expect(New().Plan(w.now, w.view).Starts[0].Job).To(Equal(large))
 }
 
+// Guards against a drain that stops a large zone at once, so that the stopped
+// work finds no place elsewhere.
+func TestDrainsInBatches(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(carawayshift.ObjectivePacking)
+	for i := range w.view.Workers {
+		w.view.Workers[i].Zone = "zone0"
+	}
+	w.full()
+	for i := range w.view.Jobs {
+		w.view.Jobs[i].Zone = "zone0"
+	}
+	w.view.Zones[0].Out = true
+	p := New().Plan(w.now, w.view)
+	g.Expect(len(p.Stops) * 8).To(Equal(minDrainBatch))
+	w.apply(nil, carawayshift.Plan{Stops: p.Stops, Waits: p.Waits})
+	g.Expect(New().Plan(w.now, w.view).Stops).To(BeEmpty(), "the batch is still stopping")
+}
+
+// Guards against a guarantee that could only be met by stopping guaranteed
+// work: a job in each rack leaves no rack with four free workers.
+func TestCheckGuaranteesAroundRunningWork(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(carawayshift.ObjectiveCompletion)
+	for _, z := range []string{"zone0", "zone1", "zone2"} {
+		w.running(carawayshift.Job{Team: "b", Tasks: 1, Accelerators: 8}, time.Hour, 0, z+"-w0")
+	}
+	w.view.Teams[0].Guarantee = nil
+	w.view.Teams[1].Guarantee = []carawayshift.CellCount{{Count: 3, Size: 8}}
+	g.Expect(New().CheckGuarantees(w.view)).To(Succeed())
+	w.view.Teams[0].Guarantee = []carawayshift.CellCount{{Count: 1, Size: 32}}
+	g.Expect(New().CheckGuarantees(w.view)).To(MatchError(ContainSubstring("running guaranteed job")))
+}
+
 // Guards against guarantees that are accepted though they can't be packed, and
 // a refusal that doesn't say what is short and where.
 func TestCheckGuarantees(t *testing.T) {
