--- a/internal/trace/figures.go
+++ b/internal/trace/figures.go
@@ -193,7 +193,9 @@
 	f.LargeWait = seconds(f.large.value())
 	f.Use = f.busy / max(1, f.capacity)
 	f.Fragmentation = f.unusable / max(1, f.free)
-	f.Work = f.useful / max(1, f.serviceable)
+	if f.serviceable > 0 {
+		f.Work = f.useful / f.serviceable
+	}
 }
 
 func seconds(s float64) time.Duration {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -7,7 +7,9 @@
 //
 // # Usage
 //
-//	r := quarantine.Record{Failures: recent, Successes: ended}
+//	var r quarantine.Record
+//	r.Fail(41, "w7", failedAt)
+//	r.Succeed(42, "w8", endedAt)
 //	workers, jobs := r.Judge(now, view.Workers)
 //	// workers maps names to the end of their quarantine; jobs lists the ids
 //	// to park.
@@ -40,24 +42,35 @@
 	zoneShare = 10
 )
 
-// Record is what is known about recent attempts, in any order.
+// Record is what is known about recent attempts. The zero value is empty.
 type Record struct {
-	// Failures are tasks that ended in an error, Successes tasks that
-	// finished.
-	Failures, Successes []struct {
-		Job    uint64
-		Worker string
-		At     time.Time
-	}
 	// Terms counts the earlier quarantines of each worker. The caller resets
 	// it when the worker has succeeded after its probation.
 	Terms map[string]int
+
+	failures, successes []outcome
+}
+
+type outcome struct {
+	job    uint64
+	worker string
+	at     time.Time
+}
+
+// Fail adds a task of the job that ended in an error. The order doesn't matter.
+func (r *Record) Fail(job uint64, worker string, at time.Time) {
+	r.failures = append(r.failures, outcome{job, worker, at})
+}
+
+// Succeed adds a task of the job that finished.
+func (r *Record) Succeed(job uint64, worker string, at time.Time) {
+	r.successes = append(r.successes, outcome{job, worker, at})
 }
 
 // Judge returns the workers to quarantine, with the end of the quarantine, and
 // the jobs to park, in ascending order. Workers that are in quarantine already
 // use up the share of their zone and are not returned.
-func (r Record) Judge(now time.Time, workers []carawayshift.Worker) (map[string]time.Time, []uint64) {
+func (r *Record) Judge(now time.Time, workers []carawayshift.Worker) (map[string]time.Time, []uint64) {
 	jobsOn, workersOf := r.failed()
 	good := r.lastSuccess()
 	jobs := badJobs(workersOf, jobsOn)
@@ -67,28 +80,28 @@
 
 // failed returns the jobs that failed on each worker, with the time of the
 // last failure, and the workers on which each job failed.
-func (r Record) failed() (jobsOn map[string]map[uint64]time.Time, workersOf map[uint64]map[string]bool) {
+func (r *Record) failed() (jobsOn map[string]map[uint64]time.Time, workersOf map[uint64]map[string]bool) {
 	jobsOn, workersOf = map[string]map[uint64]time.Time{}, map[uint64]map[string]bool{}
-	for _, f := range r.Failures {
-		if jobsOn[f.Worker] == nil {
-			jobsOn[f.Worker] = map[uint64]time.Time{}
+	for _, f := range r.failures {
+		if jobsOn[f.worker] == nil {
+			jobsOn[f.worker] = map[uint64]time.Time{}
 		}
-		if workersOf[f.Job] == nil {
-			workersOf[f.Job] = map[string]bool{}
+		if workersOf[f.job] == nil {
+			workersOf[f.job] = map[string]bool{}
 		}
-		if f.At.After(jobsOn[f.Worker][f.Job]) {
-			jobsOn[f.Worker][f.Job] = f.At
+		if f.at.After(jobsOn[f.worker][f.job]) {
+			jobsOn[f.worker][f.job] = f.at
 		}
-		workersOf[f.Job][f.Worker] = true
+		workersOf[f.job][f.worker] = true
 	}
 	return jobsOn, workersOf
 }
 
-func (r Record) lastSuccess() map[string]time.Time {
+func (r *Record) lastSuccess() map[string]time.Time {
 	out := map[string]time.Time{}
-	for _, s := range r.Successes {
-		if s.At.After(out[s.Worker]) {
-			out[s.Worker] = s.At
+	for _, s := range r.successes {
+		if s.at.After(out[s.worker]) {
+			out[s.worker] = s.at
 		}
 	}
 	return out
@@ -121,7 +134,7 @@
 
 // suspects returns the workers on which enough jobs failed since the last
 // success there, jobs that fail everywhere left out; the worst come first.
-func (r Record) suspects(jobsOn map[string]map[uint64]time.Time, bad []uint64, good map[string]time.Time, workers []carawayshift.Worker) []suspect {
+func (r *Record) suspects(jobsOn map[string]map[uint64]time.Time, bad []uint64, good map[string]time.Time, workers []carawayshift.Worker) []suspect {
 	var out []suspect
 	for _, w := range workers {
 		n := 0
@@ -139,7 +152,7 @@
 }
 
 // sentence quarantines the suspects as far as the share of each zone allows.
-func (r Record) sentence(now time.Time, suspects []suspect, workers []carawayshift.Worker) map[string]time.Time {
+func (r *Record) sentence(now time.Time, suspects []suspect, workers []carawayshift.Worker) map[string]time.Time {
 	left := map[string]int{}
 	for _, w := range workers {
 		left[w.Zone]++
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -38,8 +38,21 @@
 		{name: "success since", failures: []pair{{1, 0}, {2, 0}, {3, 0}}, successes: []int{0}},
 		{name: "failing job", failures: []pair{{1, 0}, {1, 1}, {1, 2}}, jobs: []uint64{1}},
 		{
-			name: "failing jobs on a sound worker", jobs: []uint64{1, 2},
-			failures: []pair{{1, 0}, {2, 0}, {1, 1}, {1, 2}, {2, 3}, {2, 4}},
+			name: "failing jobs on a sound worker", jobs: []uint64{1, 2, 3},
+			failures: []pair{
+				{1, 0},
+				{2, 0},
+				{3, 0},
+				{1, 1},
+				{1, 2},
+				{1, 3},
+				{2, 4},
+				{2, 5},
+				{2, 6},
+				{3, 7},
+				{3, 8},
+				{3, 9},
+			},
 		},
 		{
 			name: "share of the zone", workers: map[string]time.Duration{"w00": 10 * time.Minute, "w01": 10 * time.Minute},
@@ -52,18 +65,10 @@
 			g := NewWithT(t)
 			r := Record{Terms: tt.terms}
 			for _, f := range tt.failures {
-				r.Failures = append(r.Failures, struct {
-					Job    uint64
-					Worker string
-					At     time.Time
-				}{f.job, ws[f.worker].Name, now.Add(-time.Hour)})
+				r.Fail(f.job, ws[f.worker].Name, now.Add(-time.Hour))
 			}
 			for _, s := range tt.successes {
-				r.Successes = append(r.Successes, struct {
-					Job    uint64
-					Worker string
-					At     time.Time
-				}{99, ws[s].Name, now.Add(-time.Minute)})
+				r.Succeed(99, ws[s].Name, now.Add(-time.Minute))
 			}
 			all := append([]carawayshift.Worker{}, ws...)
 			for i := range tt.held {
