Show operators only a confirmed copy of the state

Cause: a process test found that a control host with an empty data folder answered 'show notes' from its empty state, marked only with an age: a version older than one that had been shown. Ruled out: the voter check. The group refused the empty host as a voter, and nothing was lost. Leadership is handed over with Transfer.

--- a/cmd/carawayshift/serve.go
+++ b/cmd/carawayshift/serve.go
@@ -14,7 +14,8 @@
 )
 
 type serveCmd struct {
-	Settings string `help:"Settings file." required:"" type:"path"`
+	Settings   string `help:"Settings file." required:"" type:"path"`
+	FirstStart bool   `help:"The deployment starts for the first time: serve requests with idempotency keys at once. Never give it on a restart."`
 }
 
 // Run serves until the process is told to stop. A faulty settings file starts
@@ -24,7 +25,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s, run \"carawayshift check %s\"", c.Settings, c.Settings)
 	}
-	o := server.Options{Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name)}
+	o := server.Options{Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name), FirstStart: c.FirstStart}
 	if o.ServerTLS, o.ClientTLS, err = keys.Load(cfg.TLS.CA, cfg.TLS.Cert, cfg.TLS.Key); err != nil {
 		return err
 	}
--- a/internal/demo/deploy.go
+++ b/internal/demo/deploy.go
@@ -97,7 +97,7 @@
 	for _, h := range d.hosts {
 		o := server.Options{
 			Settings: d.settings(h, dir), HTTP: h.http, Operators: h.operators, Peers: h.peers,
-			Log: d.log.WithField("host", h.name),
+			Log: d.log.WithField("host", h.name), FirstStart: true,
 		}
 		cert, err := authority.Certificate(h.name, []netip.Addr{netip.MustParseAddr(loopback)})
 		if err != nil {
--- a/internal/scheduler/failures.go
+++ b/internal/scheduler/failures.go
@@ -18,7 +18,7 @@
 // the leader's memory: a new leader starts from the failures that the jobs
 // record, which are the ones that matter, and without successes.
 type failures struct {
-	record quarantine.Record
+	failed, succeeded []end
 	// seen has each job as of the last observation, quarantined the workers
 	// that were recorded then.
 	seen        map[uint64]carawayshift.Job
@@ -33,48 +33,59 @@
 		last, known := f.seen[id]
 		if len(j.FailedOn) < len(last.FailedOn) {
 			// An operator released the job: its failures are forgiven.
-			f.forget(func(e end) bool { return e.Job == id })
+			f.forget(func(e end) bool { return e.job == id })
 			last.FailedOn = nil
 		}
 		for _, w := range j.FailedOn[min(len(last.FailedOn), len(j.FailedOn)):] {
-			f.record.Failures = append(f.record.Failures, end{id, w, now})
+			f.failed = append(f.failed, end{id, w, now})
 		}
 		if known && j.State == carawayshift.JobFinished && last.Active() {
 			for _, p := range last.Placements {
-				f.record.Successes = append(f.record.Successes, end{id, p.Worker, now})
+				f.succeeded = append(f.succeeded, end{id, p.Worker, now})
 			}
 		}
 	}
 	for name := range f.quarantined {
 		if _, ok := st.Quarantine[name]; !ok {
 			// An operator released the worker.
-			f.forget(func(e end) bool { return e.Worker == name })
+			f.forget(func(e end) bool { return e.worker == name })
 		}
 	}
 	f.seen, f.quarantined = seen, st.Quarantine
-	f.record.Failures = recent(f.record.Failures, now)
-	f.record.Successes = recent(f.record.Successes, now)
-	f.record.Terms = map[string]int{}
+	f.failed, f.succeeded = recent(f.failed, now), recent(f.succeeded, now)
+}
+
+// record returns what counts now. A worker that was in quarantine before gets
+// a longer one.
+func (f *failures) record(st carawayshift.State) *quarantine.Record {
+	r := &quarantine.Record{Terms: map[string]int{}}
+	for _, e := range f.failed {
+		r.Fail(e.job, e.worker, e.at)
+	}
+	for _, e := range f.succeeded {
+		r.Succeed(e.job, e.worker, e.at)
+	}
 	for name := range st.Quarantine {
-		f.record.Terms[name] = 1
+		r.Terms[name] = 1
 	}
+	return r
 }
 
 // forget drops the failures for which drop returns true.
 func (f *failures) forget(drop func(end) bool) {
-	f.record.Failures = slices.DeleteFunc(f.record.Failures, drop)
+	f.failed = slices.DeleteFunc(f.failed, drop)
 }
 
-// end is the end of one task, as quarantine.Record lists it.
-type end = struct {
-	Job    uint64
-	Worker string
-	At     time.Time
+// end is the end of one task.
+type end struct {
+	job    uint64
+	worker string
+	at     time.Time
 }
 
 // recent drops the ends that no longer count; they are in order of time.
 func recent(list []end, now time.Time) []end {
-	for len(list) > 0 && now.Sub(list[0].At) > failureMemory {
+	for len(list) > 0 && now.Sub(list[0].at) > failureMemory {
 		list = list[1:]
 	}
 	return list
@@ -84,14 +95,14 @@
 // fail wherever they run.
 func (s *Scheduler) judge(ctx context.Context, st carawayshift.State, now time.Time) {
 	s.failures.observe(st, now)
-	if len(s.failures.record.Failures) == 0 {
+	if len(s.failures.failed) == 0 {
 		return
 	}
 	workers := s.opts.Workers()
 	for i, w := range workers {
 		workers[i].Quarantined = now.Before(st.Quarantine[w.Name])
 	}
-	bad, jobs := s.failures.record.Judge(now, workers)
+	bad, jobs := s.failures.record(st).Judge(now, workers)
 	for name, until := range bad {
 		log := s.opts.Logger.WithFields(logrus.Fields{"worker": name, "until": until, "reason": "fails jobs that run elsewhere"})
 		s.send(ctx, log, "quarantine", carawayshift.Command{Kind: carawayshift.QuarantineWorker, Name: name, Until: until.UTC()})
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +23,9 @@
 	epochBits = 32
 	// handOverTimeout bounds each step of handing over at a graceful stop.
 	handOverTimeout = 2 * time.Second
+	syncRetry       = 200 * time.Millisecond
+	// unsyncedReady covers an election after a restart of all control hosts.
+	unsyncedReady = 10 * time.Second
 )
 
 // control is the host's copy of the replicated state with its log. On control
@@ -33,15 +38,19 @@
 	// follower keeps the copy on hosts without [control], and serves such
 	// hosts on the others.
 	follower *follower.Follower
+	// synced is set on control hosts once their copy was confirmed to hold
+	// everything that was committed before it.
+	synced atomic.Bool
+	born   time.Time
 }
 
 func newControl(o Options, m *state.Machine, mesh *host.Mesh) (*control, func(), error) {
 	if o.Settings.Control.Data == "" {
 		f := follower.New(follower.Config{
 			Host: o.Settings.Host.Name, Machine: m, Transport: mesh, Voters: o.nearVoters,
-			Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+			Members: mesh.Live, Logger: o.Log,
 		})
-		return &control{Log: f, machine: m, follower: f}, func() {}, nil
+		return &control{Log: f, machine: m, follower: f, born: time.Now()}, func() {}, nil
 	}
 	j, err := journal.Open(o.Settings.Control.Data)
 	if err != nil {
@@ -56,19 +65,9 @@
 	}
 	f := follower.New(follower.Config{
 		Host: o.Settings.Host.Name, Transport: mesh, Source: source{r}, Log: r, Voters: o.nearVoters,
-		Members: func() []string { return liveMembers(mesh) }, Logger: o.Log,
+		Members: mesh.Live, Logger: o.Log,
 	})
-	return &control{Log: r, machine: m, replica: r, follower: f}, func() { _ = j.Close() }, nil
-}
-
-func liveMembers(mesh *host.Mesh) []string {
-	var names []string
-	for _, m := range mesh.Members() {
-		if m.State == host.Alive {
-			names = append(names, m.Name)
-		}
-	}
-	return names
+	return &control{Log: r, machine: m, replica: r, follower: f, born: time.Now()}, func() { _ = j.Close() }, nil
 }
 
 // source lets followers read a replica's entries. Entries of the replica
@@ -110,10 +109,65 @@
 		c.follower.Run(ctx)
 		return nil
 	}
-	go c.follower.Run(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.follower.Run(ctx) })
+	wg.Go(func() { c.sync(ctx) })
 	return c.replica.Run(ctx)
 }
 
+// sync waits until this host has applied everything that was committed before
+// it started. Until then its copy may be older than one that it has shown:
+// the journal holds entries whose commit is not known yet, and an empty data
+// folder holds none.
+func (c *control) sync(ctx context.Context) {
+	for ctx.Err() == nil {
+		step, cancel := context.WithTimeout(ctx, handOverTimeout)
+		index, err := c.Barrier(step)
+		if err == nil {
+			err = c.wait(step, index)
+		}
+		cancel()
+		if err == nil {
+			c.synced.Store(true)
+			return
+		}
+		sleep(ctx, syncRetry)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// confirmed returns nil when the copy may be shown to operators.
+func (c *control) confirmed() error {
+	if c.replica == nil {
+		return c.follower.Ready()
+	}
+	if !c.synced.Load() {
+		return carawayshift.NewError(carawayshift.Unavailable, "this host has not confirmed its copy of the state since it started",
+			"ask another host; if the disk of this one was replaced, remove it from the voters and add it again")
+	}
+	return nil
+}
+
+// ready returns nil when callers may be sent to this host. Routing needs the
+// state only for the teams' limits, so a zone that is cut off takes callers
+// after a while without a confirmed copy.
+func (c *control) ready() error {
+	err := c.confirmed()
+	if c.replica != nil && time.Since(c.born) > unsyncedReady {
+		return nil
+	}
+	return err
+}
+
 // wait returns when the entry at index has been applied here. The machine's
 // own index does not count entries of the replica, such as term starts.
 func (c *control) wait(ctx context.Context, index uint64) error {
@@ -162,16 +216,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for _, m := range c.replica.Status().Members {
-		if m.Host == name || !m.Voter {
-			continue
-		}
-		if err := c.replica.Transfer(ctx, m.Host); err == nil {
-			log.WithField("to", m.Host).Info("leadership handed over")
-			return
-		}
+	if err := c.replica.Transfer(ctx, ""); err != nil {
+		log.WithError(err).Warn("leadership not handed over, an election follows")
+		return
 	}
-	log.Warn("leadership not handed over, an election follows")
+	log.Info("leadership handed over")
 }
 
 func newLeases(o Options, c *control, mesh *host.Mesh) *lease.Table {
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -27,6 +27,10 @@
 	Operators net.Listener
 	Peers     net.PacketConn
 	Log       logrus.FieldLogger
+	// FirstStart says that the deployment has never served a request with an
+	// idempotency key. Without it a host grants claims only once it has
+	// collected the records of its zone.
+	FirstStart bool
 }
 
 // zoneHosts returns the configured hosts of a zone in name order.
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -91,6 +91,7 @@
 	}
 	r, err := claim.New(claim.Config{
 		Host: o.Settings.Host.Name, Zones: o.zoneNames, Hosts: o.zoneHosts, Transport: mesh, Path: path,
+		Fresh: o.FirstStart,
 	})
 	return r, errors.Wrap(err, "server.newClaims")
 }
@@ -118,7 +119,7 @@
 
 func newPlatform(o Options, c *control, set *metrics.Set) *platform.Handler {
 	return platform.New(platform.Config{
-		Checks: []platform.Check{c.follower.Ready}, Metrics: []*metrics.Set{set}, Log: o.Log,
+		Checks: []platform.Check{c.ready}, Metrics: []*metrics.Set{set}, Log: o.Log,
 	})
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/caller"
 	"carawayshift.example/carawayshift/internal/gang"
 	"carawayshift.example/carawayshift/internal/host"
@@ -159,11 +161,36 @@
 
 func (s *Server) operatorMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/v1/statements", s.operator)
+	mux.HandleFunc("/v1/statements", s.statements)
 	s.handlePlatform(mux)
 	return mux
 }
 
+// statements answers operators only from a confirmed copy of the state, so that
+// no host shows a version older than one that was shown before.
+func (s *Server) statements(w http.ResponseWriter, r *http.Request) {
+	err := s.control.confirmed()
+	if err == nil {
+		s.operator.ServeHTTP(w, r)
+		return
+	}
+	var e *carawayshift.Error
+	if !errors.As(err, &e) {
+		e = carawayshift.NewError(carawayshift.Unavailable, err.Error(), "ask another host")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(unavailable{Text: e.Error() + "\n", Error: e.Text, Kind: e.Kind, Remedy: e.Remedy})
+}
+
+// unavailable is the answer of a host that may not show its state.
+type unavailable struct {
+	Text   string            `json:"text"`
+	Error  string            `json:"error"`
+	Kind   carawayshift.Kind `json:"kind"`
+	Remedy string            `json:"remedy"`
+}
+
 func (s *Server) handlePlatform(mux *http.ServeMux) {
 	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
 		mux.Handle(path, s.platform)
