placement: test that equal views give equal plans

Cause: the planner must be a pure function of time and view; nothing checked that no map order or clock reaches a decision.

Change: each step of the histories plans twice and compares.

--- a/pkg/placement/history_test.go
+++ b/pkg/placement/history_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -179,6 +180,9 @@
 	before := newModel(w.now, &w.view).deficit()
 	jobs := len(w.view.Jobs)
 	p := New().Plan(w.now, w.view)
+	if again := New().Plan(w.now, w.view); !reflect.DeepEqual(p, again) {
+		t.Fatalf("two plans of one view differ: %+v, %+v", p, again)
+	}
 	w.apply(t, p)
 	if len(w.view.Jobs) != jobs {
 		t.Fatalf("%d jobs became %d", jobs, len(w.view.Jobs))
