--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"carawayshift.example/carawayshift/internal/settings"
 	"carawayshift.example/carawayshift/internal/statement"
 )
 
@@ -70,6 +71,12 @@
 	})
 }
 
+// Guards against an example that a new host can't start with.
+func TestExampleSettingsAreValid(t *testing.T) {
+	_, err := settings.Load(filepath.Join(root, "docs/example.ini"))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+}
+
 // Guards against a finder that overlooks names and so passes every page.
 func TestMentionsAndStatements(t *testing.T) {
 	g := NewWithT(t)
