--- a/cmd/carawayshift/process_test.go
+++ b/cmd/carawayshift/process_test.go
@@ -26,7 +26,7 @@
 
 // deployment is a set of processes of the built binary on loopback.
 type deployment struct {
-	t     *testing.T
+	t     testing.TB
 	g     Gomega
 	dir   string
 	bin   string
@@ -41,7 +41,7 @@
 	settings               string
 }
 
-func newDeployment(t *testing.T, hosts []*hostProcess) *deployment {
+func newDeployment(t testing.TB, hosts []*hostProcess) *deployment {
 	d := &deployment{t: t, g: NewWithT(t), dir: t.TempDir(), hosts: hosts}
 	d.bin = filepath.Join(d.dir, "carawayshift")
 	out, err := exec.Command("go", "build", "-o", d.bin, ".").CombinedOutput()
@@ -62,7 +62,7 @@
 func (d *deployment) path(name string) string { return filepath.Join(d.dir, name) }
 
 // freePort returns a loopback address that was free a moment ago.
-func freePort(t *testing.T, network string) string {
+func freePort(t testing.TB, network string) string {
 	if network == "udp" {
 		c, err := net.ListenPacket("udp", "127.0.0.1:0")
 		if err != nil {
--- /dev/null
+++ b/cmd/carawayshift/slopes_test.go
@@ -0,0 +1,72 @@
+package main_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	slopeWindow = 20 * time.Second
+	// clockTicks is the unit of processor times in /proc, per second.
+	clockTicks = 100
+	pageSize   = 4096
+)
+
+// usage is what a process has used.
+type usage struct {
+	processor time.Duration
+	// resident is in bytes.
+	resident int
+}
+
+func (h *hostProcess) usage(tb testing.TB) usage {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.cmd.Process.Pid))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+2:]))
+	number := func(i int) int {
+		n, err := strconv.Atoi(fields[i])
+		if err != nil {
+			tb.Fatal(err)
+		}
+		return n
+	}
+	return usage{time.Duration(number(11)+number(12)) * time.Second / clockTicks, number(21) * pageSize}
+}
+
+// BenchmarkHost measures the processor time and the resident memory of the
+// hosts of a deployment at rest, with a number of stand-in workers that
+// announce themselves to one of them. Run it with
+//
+//	go test -run '^$' -bench Host -benchtime 1x ./cmd/carawayshift
+func BenchmarkHost(b *testing.B) {
+	for _, workers := range []int{0, 50, 100, 200} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			d := newDeployment(b, threeControlHosts())
+			d.accept("create zone belmont region north")
+			bel1 := d.hosts[1]
+			for i := range workers {
+				name := fmt.Sprintf("w%03d", i)
+				d.spawn(name, "standin", "worker", "--name", name, "--zone", bel1.zone, "--rack", fmt.Sprint("rack", i/8),
+					"--listen", freePort(b, "tcp"), "--entry", "http://"+bel1.http)
+			}
+			// The lease of the zone and the digests take a few seconds.
+			time.Sleep(slopeWindow / 2)
+			before := make([]usage, len(d.hosts))
+			for i, h := range d.hosts {
+				before[i] = h.usage(b)
+			}
+			time.Sleep(slopeWindow)
+			for i, h := range d.hosts {
+				u := h.usage(b)
+				b.ReportMetric(100*float64(u.processor-before[i].processor)/float64(slopeWindow), h.name+"-core-%")
+				b.ReportMetric(float64(u.resident)/(1<<20), h.name+"-MB")
+			}
+		})
+	}
+}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
@@ -44,11 +45,11 @@
 	born   time.Time
 }
 
-func newControl(o Options, m *state.Machine, mesh *host.Mesh) (*control, func(), error) {
+func newControl(o Options, m *state.Machine, mesh *host.Mesh, set *metrics.Set) (*control, func(), error) {
 	if o.Settings.Control.Data == "" {
 		f := follower.New(follower.Config{
 			Host: o.Settings.Host.Name, Machine: m, Transport: mesh, Voters: o.nearVoters,
-			Members: mesh.Live, Logger: o.Log,
+			Members: mesh.Live, Logger: o.Log, Metrics: set,
 		})
 		return &control{Log: f, machine: m, follower: f, born: time.Now()}, func() {}, nil
 	}
@@ -65,7 +66,7 @@
 	}
 	f := follower.New(follower.Config{
 		Host: o.Settings.Host.Name, Transport: mesh, Source: source{r}, Log: r, Voters: o.nearVoters,
-		Members: mesh.Live, Logger: o.Log,
+		Members: mesh.Live, Logger: o.Log, Metrics: set,
 	})
 	return &control{Log: r, machine: m, replica: r, follower: f, born: time.Now()}, func() { _ = j.Close() }, nil
 }
@@ -223,12 +224,12 @@
 	log.Info("leadership handed over")
 }
 
-func newLeases(o Options, c *control, mesh *host.Mesh) *lease.Table {
+func newLeases(o Options, c *control, mesh *host.Mesh, set *metrics.Set) *lease.Table {
 	name := o.Settings.Host.Name
 	return lease.New(lease.Config{
 		Host: name, Zone: o.Settings.Host.Zone, Transport: mesh, Leader: c.Leader,
 		Confirm: func(ctx context.Context) (uint64, error) { return c.confirmLeader(ctx, name) },
-		In:      c.zoneIn, Candidates: o.zoneHosts, Log: o.Log,
+		In:      c.zoneIn, Candidates: o.zoneHosts, Log: o.Log, Metrics: set,
 	})
 }
 
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -110,8 +110,13 @@
 }
 
 func newOperator(o Options, c *control, w *worker.Client, p *runner.Pool, planner carawayshift.Planner, v *versions) *operator.Handler {
+	// On control hosts the handler's own clock counts from the last barrier.
+	var age func() time.Duration
+	if c.replica == nil {
+		age = c.follower.Age
+	}
 	return operator.New(operator.Config{
-		Log: c.Log, State: c.machine.State, Wait: c.wait,
+		Age: age, Log: c.Log, State: c.machine.State, Wait: c.wait,
 		Workers: func() []carawayshift.Worker { return w.Everywhere(context.Background()) },
 		Runners: p.All, Planner: planner, Hosts: v.all, Logger: o.Log,
 	})
--- a/internal/server/wire_gen.go
+++ b/internal/server/wire_gen.go
@@ -17,12 +17,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	serverControl, cleanup, err := newControl(o, machine, mesh)
+	serverControl, cleanup, err := newControl(o, machine, mesh, set)
 	if err != nil {
 		return nil, nil, err
 	}
 	handler := newPlatform(o, serverControl, set)
-	table := newLeases(o, serverControl, mesh)
+	table := newLeases(o, serverControl, mesh, set)
 	client := newWorkers(o, serverControl, table, mesh)
 	agent := newAgent(o, serverControl, table, client, mesh)
 	scheduler := newScheduler(o, serverControl, client, planner)
