Change the members of the replicated group from the command line

Cause: operators could not replace a control host's disk: the methods of pkg/replica had no command. Change: POST /v1/members and the command member add, promote, remove. [requests] deadline reaches the callers' handler, which had a fixed 10 s. A refused statement is printed once. The demo stops its hosts before it removes their folder.

--- a/cmd/carawayshift/faults_test.go
+++ b/cmd/carawayshift/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"regexp"
 	"strconv"
 	"sync"
@@ -171,6 +172,24 @@
 	d.start(d.hosts[1])
 	d.accept(`note "with a majority again"`)
 	d.checkNotes(accepted)
+
+	// The repair: the host comes back as a voter with a new disk, and then
+	// completes a majority.
+	for _, op := range []string{"remove", "add", "promote"} {
+		d.member(op, lost, d.hosts[1])
+	}
+	d.kill(d.hosts[2])
+	d.hosts = d.hosts[:2]
+	d.accept(`note "a majority with the new disk"`)
+	d.checkNotes(accepted)
+}
+
+// member repeats a change of the group until a control host has made it.
+func (d *deployment) member(op string, h, at *hostProcess) {
+	d.g.Eventually(func() (string, error) {
+		out, err := exec.Command(d.bin, "member", op, h.name, "--entry", "http://"+at.operators).CombinedOutput()
+		return string(out), err
+	}, patience, poll).Should(ContainSubstring("voter"), op)
 }
 
 // balancer stands in for the platform's load balancer: it sends to hosts whose
--- a/cmd/carawayshift/main.go
+++ b/cmd/carawayshift/main.go
@@ -20,11 +20,13 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 )
 
 type cli struct {
 	Serve   serveCmd   `cmd:"" help:"Run an entry host; also a control host when the settings have [control]. Example: carawayshift serve --settings host.ini"`
 	Query   queryCmd   `cmd:"" help:"Send statements to the system. Example: carawayshift query --entry http://127.0.0.1:8481 \"why job 41\""`
+	Member  memberCmd  `cmd:"" help:"Change the members of the replicated group, for example to replace a disk. Example: carawayshift member remove lav1"`
 	Check   checkCmd   `cmd:"" help:"Check a settings file and print every fault. Example: carawayshift check host.ini"`
 	Keys    keysCmd    `cmd:"" help:"Create the deployment's CA and host certificates. Example: carawayshift keys --dir keys --host lav1=192.0.2.11"`
 	Standin standinCmd `cmd:"" help:"Run a stand-in target. Example: carawayshift standin worker --name w1 --zone belmont --rack r1 --listen 127.0.0.1:9101 --entry http://127.0.0.1:8480"`
@@ -43,7 +45,9 @@
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
 	if err := k.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "carawayshift:", err)
+		if !errors.Is(err, errShown) {
+			fmt.Fprintln(os.Stderr, "carawayshift:", err)
+		}
 		stop()
 		os.Exit(1)
 	}
--- a/cmd/carawayshift/query.go
+++ b/cmd/carawayshift/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/user"
 
@@ -21,7 +22,30 @@
 // Run sends statements and prints the answers. A refusal is an error, so that
 // scripts see it in the exit code.
 func (c *queryCmd) Run(ctx context.Context) error {
-	sh := terminal.Shell{Hosts: c.Entry, Operator: c.Operator, JSON: c.JSON, Out: os.Stdout}
+	out := &countingWriter{w: os.Stdout}
+	err := c.run(ctx, &terminal.Shell{Hosts: c.Entry, Operator: c.Operator, JSON: c.JSON, Out: out})
+	if err != nil && out.n > 0 {
+		return errShown
+	}
+	return err
+}
+
+// errShown ends the process with an error whose text was already printed.
+var errShown = errors.New("the answer says why")
+
+// countingWriter counts the bytes that it passes on.
+type countingWriter struct {
+	w io.Writer
+	n int
+}
+
+func (c *countingWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.n += n
+	return n, err
+}
+
+func (c *queryCmd) run(ctx context.Context, sh *terminal.Shell) error {
 	if sh.Operator == "" {
 		u, err := user.Current()
 		if err != nil {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -55,6 +55,8 @@
 	Zones func() []carawayshift.Zone
 	// Entries returns the host:port addresses of a zone's entry hosts.
 	Entries func(zone string) []string
+	// Deadline applies to requests that name none; 0 is 10 s.
+	Deadline time.Duration
 	// BodyLimit is the largest request body in bytes.
 	BodyLimit int64
 	// Active is the largest number of accepted requests that are not answered.
--- a/internal/caller/job.go
+++ b/internal/caller/job.go
@@ -80,7 +80,7 @@
 	if j.service == "" {
 		return j, malformed("the path names no service", "use /r/{service}/...")
 	}
-	if err := j.parseHeaders(req.Header, h.hopped(req.Header)); err != nil {
+	if err := j.parseHeaders(req.Header, h.hopped(req.Header), h.cfg.Deadline); err != nil {
 		return j, err
 	}
 	if req.Method == http.MethodConnect || req.Method == http.MethodTrace {
@@ -115,7 +115,9 @@
 	return name
 }
 
-func (j *job) parseHeaders(hd http.Header, hop bool) error {
+// parseHeaders reads the headers; left is the deadline of requests that name
+// none.
+func (j *job) parseHeaders(hd http.Header, hop bool, left time.Duration) error {
 	j.team = hd.Get(headerTeam)
 	j.key = hd.Get(headerKey)
 	j.hop = hop
@@ -133,7 +135,6 @@
 	default:
 		return malformed("unknown urgency "+hd.Get(headerUrgency), "use X-Urgency: urgent or overnight")
 	}
-	left := defaultDeadline
 	if v := hd.Get(headerDeadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms <= 0 {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -60,13 +60,13 @@
 // Run starts the deployment, plays the session and stops everything.
 func (d *Demo) Run(ctx context.Context) error {
 	ctx, d.cancel = context.WithCancel(ctx)
-	defer d.wg.Wait()
-	defer d.cancel()
 	remove, err := d.deploy(ctx)
 	if err != nil {
 		return err
 	}
 	defer remove()
+	defer d.wg.Wait()
+	defer d.cancel()
 	d.shell = &terminal.Shell{Operator: "night", Out: &d.answer}
 	for _, h := range d.hosts {
 		d.shell.Hosts = append(d.shell.Hosts, "http://"+h.operators.Addr().String())
--- /dev/null
+++ b/internal/server/members.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/replica"
+)
+
+const maxMemberBody = 4 << 10
+
+// memberRequest is the body of POST /v1/members.
+type memberRequest struct {
+	// Op is "add", "promote" or "remove".
+	Op   string `json:"op"`
+	Host string `json:"host"`
+}
+
+// memberReply lists the members after the change, or says why it was refused.
+type memberReply struct {
+	Members []replica.Member  `json:"members,omitempty"`
+	Error   string            `json:"error,omitempty"`
+	Kind    carawayshift.Kind `json:"kind,omitempty"`
+	Remedy  string            `json:"remedy,omitempty"`
+}
+
+// changeMembers serves POST /v1/members: it adds a host as a learner, promotes
+// a learner to a voter, or removes a member of the replicated group.
+func (s *Server) changeMembers(w http.ResponseWriter, r *http.Request) {
+	var q memberRequest
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMemberBody)).Decode(&q)
+	if err != nil {
+		err = carawayshift.NewError(carawayshift.Malformed, "the body is not a member change", `send {"op":"add","host":"lav1"}`)
+	} else {
+		err = s.changeMember(r.Context(), q)
+	}
+	if err != nil {
+		writeMemberError(w, err)
+		return
+	}
+	s.opts.Log.WithField("op", q.Op).WithField("member", q.Host).Info("members changed")
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(memberReply{Members: s.control.replica.Status().Members})
+}
+
+func (s *Server) changeMember(ctx context.Context, q memberRequest) error {
+	if s.control.replica == nil {
+		return carawayshift.NewError(carawayshift.Unavailable, "this host is no control host", "send the change to a control host")
+	}
+	if !s.opts.isPeer(q.Host) {
+		return carawayshift.NewError(carawayshift.NotFound, "no host "+q.Host+" in [peers]", "add it to the settings of all hosts first")
+	}
+	switch q.Op {
+	case "add":
+		return s.control.replica.AddLearner(ctx, q.Host)
+	case "promote":
+		return s.control.replica.Promote(ctx, q.Host)
+	case "remove":
+		return s.control.replica.Remove(ctx, q.Host)
+	default:
+		return carawayshift.NewError(carawayshift.Malformed, "unknown change "+q.Op, "use add, promote or remove")
+	}
+}
+
+func writeMemberError(w http.ResponseWriter, err error) {
+	var e *carawayshift.Error
+	if !errors.As(err, &e) {
+		e = carawayshift.NewError(carawayshift.Unavailable, err.Error(), "try another control host")
+	}
+	status := http.StatusConflict
+	switch e.Kind {
+	case carawayshift.Malformed, carawayshift.NotFound:
+		status = http.StatusBadRequest
+	case carawayshift.Unavailable, carawayshift.NotRun, carawayshift.OutcomeUnknown:
+		status = http.StatusServiceUnavailable
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(memberReply{Error: e.Text, Kind: e.Kind, Remedy: e.Remedy})
+}
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -45,6 +45,10 @@
 	return names
 }
 
+func (o Options) isPeer(name string) bool {
+	return slices.ContainsFunc(o.Settings.Peers, func(p settings.Peer) bool { return p.Name == name })
+}
+
 // zonePeers returns the other configured hosts of this host's zone.
 func (o Options) zonePeers() []string {
 	var names []string
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -162,6 +162,7 @@
 func (s *Server) operatorMux() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/statements", s.statements)
+	mux.HandleFunc("POST /v1/members", s.changeMembers)
 	s.handlePlatform(mux)
 	return mux
 }
