Report renewals that a delayed announcement made short

A renewal ends at a time on the worker's clock, which the host knows from the last announcement. When that was under way for 16 s the worker ended the lease at once, answered with success, and the holder counted on 15 s. Ruled out: renewals by duration, see docs/decisions/clock.md; raising the bound of the check, since the lease is the stated bound. Change: a worker's answer says how long the lease lasts; a lease that is more than 3 s shorter than asked counts as a failed renewal, which is repeated with a newer clock and ends the gang after 5 s.

--- a/internal/gang/supervise.go
+++ b/internal/gang/supervise.go
@@ -49,12 +49,13 @@
 }
 
 // lost reports whether a failed renewal ends the gang: at once when a worker
-// says that the task is gone, else after lostAfter.
+// says that the task is gone, after lostAfter when it does not answer or when
+// the lease could not be extended in full.
 func (at *attempt) lost(err error) bool {
 	switch carawayshift.KindOf(err) {
 	case "", carawayshift.Unavailable:
 		return false
-	case carawayshift.OutcomeUnknown:
+	case carawayshift.OutcomeUnknown, carawayshift.Conflict:
 		return time.Since(at.renewed) > renewInterval+lostAfter
 	default:
 		return true
--- a/internal/standin/worker/tasks.go
+++ b/internal/standin/worker/tasks.go
@@ -24,6 +24,8 @@
 
 type result struct {
 	Checkpoint int64 `json:"checkpoint"`
+	// Left is the shortest time in ms until a lease ends.
+	Left int64 `json:"left"`
 }
 
 type refusal struct {
@@ -56,7 +58,7 @@
 	_ = json.NewEncoder(rw).Encode(w.result(c))
 }
 
-// result has the least checkpoint of the addressed tasks.
+// result has the least checkpoint and the shortest lease of the addressed tasks.
 func (w *Worker) result(c call) result {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -69,6 +71,9 @@
 		if ms := w.covered(t).Milliseconds(); i == 0 || ms < r.Checkpoint {
 			r.Checkpoint = ms
 		}
+		if ms := time.Until(t.lease).Milliseconds(); i == 0 || ms < r.Left {
+			r.Left = ms
+		}
 	}
 	return r
 }
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -21,6 +21,10 @@
 	// stop a gang.
 	Expiry = 5 * time.Second
 
+	// maxClockDelay is how much earlier than asked a renewed lease may end,
+	// because the worker's announcement was under way for some time.
+	maxClockDelay = 3 * time.Second
+
 	maxBodyBytes  = 1 << 20
 	maxReplyBytes = 64 << 10
 	idlePerWorker = 4
@@ -202,11 +206,24 @@
 }
 
 // Renew extends the leases of all given tasks, or of none. The worker's clock
-// at w.Seen was at least w.Clock, so the lease ends at until or earlier.
+// at w.Seen was at least w.Clock, so the lease ends at until or earlier. It
+// ends much earlier when the announcement was delayed; the error then has kind
+// Conflict, because the caller must not count on the full lease.
 func (c *Client) Renew(ctx context.Context, w carawayshift.Worker, tasks []carawayshift.TaskSpec, until time.Time) error {
 	end := w.Clock + until.Sub(w.Seen)
-	_, err := c.post(ctx, w, "renew", call{Tasks: tasks, Until: end.Milliseconds()})
-	return err
+	text, err := c.post(ctx, w, "renew", call{Tasks: tasks, Until: end.Milliseconds()})
+	if err != nil {
+		return err
+	}
+	var r result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return carawayshift.NewError(carawayshift.Malformed, "renew on worker "+w.Name+": "+err.Error(), "upgrade the worker")
+	}
+	left := time.Duration(r.Left) * time.Millisecond
+	if left < time.Until(until)-maxClockDelay {
+		return carawayshift.NewError(carawayshift.Conflict, "renew on worker "+w.Name+": the lease ends in "+left.String(), "renew again once the worker has announced itself")
+	}
+	return nil
 }
 
 // Checkpoint returns once the task's checkpoint is complete.
--- a/internal/worker/wire_types.go
+++ b/internal/worker/wire_types.go
@@ -44,10 +44,12 @@
 	Percent int `json:"percent,omitempty"`
 }
 
-// result is the body of a worker's answer to a checkpoint.
+// result is the body of a worker's answer.
 type result struct {
-	// Checkpoint is in ms of run time.
+	// Checkpoint is the run time in ms that all addressed tasks have saved.
 	Checkpoint int64 `json:"checkpoint"`
+	// Left is the shortest time in ms until a lease of the tasks ends.
+	Left int64 `json:"left"`
 }
 
 // refusal is the body of a worker's answer other than 2xx.
