Check the age of a proof without holding the test's lock

Cause: a failing check ended its goroutine with the lock held, and the test hung for ten minutes instead of failing. Change: copy under the lock, check after it.

--- a/internal/server/confirm_test.go
+++ b/internal/server/confirm_test.go
@@ -37,8 +37,9 @@
 					g.Expect(err).NotTo(HaveOccurred())
 					g.Expect(term).To(BeEquivalentTo(7))
 					mu.Lock()
-					g.Expect(began).NotTo(BeTemporally("<", asked))
+					last := began
 					mu.Unlock()
+					g.Expect(last).NotTo(BeTemporally("<", asked))
 					time.Sleep(600 * time.Millisecond)
 				}
 			})
