Plan when the state has changed, and once a second otherwise

Cause: planning every 250 ms at 2,300 workers takes 6.9 ms each, 2.8% of a core by itself; the limit for control is 1.9%. Ruled out: a longer interval for all plans, which urgent work would wait for. Change: a plan follows each change of the replicated state within 250 ms, and otherwise once a second.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,11 @@
 	// work has 8.5 s from submission to start, of which a reclaim with its
 	// checkpoint takes up to 5 s.
 	planInterval = 250 * time.Millisecond
+	// idleInterval is the longest time between two plans when the replicated
+	// state has not changed. It bounds how long a change of the workers
+	// waits. Planning at every planInterval would take 2.8% of a core with
+	// 2,300 workers; once a second takes 0.7%.
+	idleInterval = time.Second
 	// digestWait is how long a new leader waits for the zones' digests, so
 	// that it does not reclaim in one zone what is free in another.
 	digestWait = 3 * time.Second
@@ -56,6 +61,10 @@
 	term   uint64
 	since  time.Time
 	synced bool
+	// planned and index are the time of the last plan and the state's index
+	// after it.
+	planned time.Time
+	index   uint64
 	// placed has when this host first saw each placed attempt.
 	placed   map[placedKey]time.Time
 	failures failures
@@ -80,13 +89,20 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			if s.ready(ctx) {
+			if s.ready(ctx) && s.due() {
 				s.plan(ctx)
 			}
 		}
 	}
 }
 
+// due reports whether the state has changed since the last plan, or the plan is
+// old. A plan that changed the state is followed by another, because what it
+// stopped or placed may make room for more.
+func (s *Scheduler) due() bool {
+	return s.opts.State().Index != s.index || time.Since(s.planned) >= idleInterval
+}
+
 // ready reports whether this host is the leader, has applied everything that
 // was answered in earlier terms, and has heard from the zones.
 func (s *Scheduler) ready(ctx context.Context) bool {
@@ -128,6 +144,7 @@
 func (s *Scheduler) plan(ctx context.Context) {
 	now := time.Now()
 	st := s.opts.State()
+	s.planned, s.index = now, st.Index
 	s.withdrawStuck(ctx, st, now)
 	s.judge(ctx, st, now)
 	p := s.opts.Planner.Plan(now, state.View(now, st, s.opts.Workers()))
