--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	b := balance.New(balance.Config{Runners: pool.Runners, Shared: pool.Shared, Share: pool.Share})
-//	r, done, alternatives, err := b.Pick("fit", nil)
+//	r, done, alternatives, err := b.Pick("fitting", nil)
 //	answer, err := pool.Send(ctx, r, q)
 //	done(err, time.Since(start))
 //
--- a/pkg/cell/doc.go
+++ b/pkg/cell/doc.go
@@ -30,8 +30,9 @@
 // # Usage
 //
 //	f := cell.New(view.Zones, view.Workers)
-//	for each running task:
-//		f.Occupy(f.Index(worker), units)
+//	for _, p := range job.Placements {
+//		f.Occupy(f.Index(p.Worker), units)
+//	}
 //	if gang, ok := f.Find(zone, tasks, units, nil); ok {
 //		// gang[i] is the index of the worker of task i.
 //	}
