gang: drop a parameter and a method that nothing varies

Cause: settle took the function to call for each task, and every caller gave stopTask; the workers interface asked for a list that the agent never reads. Change: settle stops tasks; the interface has what is used. Checked: the package's histories and directed tests pass unchanged.

--- a/internal/gang/agent.go
+++ b/internal/gang/agent.go
@@ -39,7 +39,6 @@
 type workers interface {
 	carawayshift.WorkerClient
 	Worker(name string) (carawayshift.Worker, bool)
-	Workers() []carawayshift.Worker
 }
 
 // Options configures an Agent.
--- a/internal/gang/attempt.go
+++ b/internal/gang/attempt.go
@@ -83,7 +83,7 @@
 		return true
 	}
 	at.log.WithError(err).Warn("start not accepted")
-	at.settle(ctx, at.stopTask)
+	at.settle(ctx)
 	sleep(ctx, retryInterval)
 	return false
 }
--- a/internal/gang/supervise.go
+++ b/internal/gang/supervise.go
@@ -16,7 +16,7 @@
 		job, ok := at.a.opts.State().Jobs[at.job.ID]
 		switch {
 		case !ok || job.Attempt != at.job.Attempt || !job.Active():
-			at.settle(ctx, at.stopTask)
+			at.settle(ctx)
 			return
 		case job.State == carawayshift.JobStopping:
 			at.halt(ctx, job)
@@ -113,12 +113,12 @@
 		return false
 	}
 	at.log.Info("gang finished")
-	at.settle(ctx, at.stopTask)
+	at.settle(ctx)
 	return true
 }
 
 func (at *attempt) fail(ctx context.Context, worker, text string) {
-	at.settle(ctx, at.stopTask)
+	at.settle(ctx)
 	at.log.WithField("worker", worker).WithField("reason", text).Warn("gang failed")
 	at.record(ctx, carawayshift.FailJob, carawayshift.JobChange{Worker: worker, Reason: text})
 }
@@ -138,7 +138,7 @@
 // halt checkpoints and stops the gang on behalf of the log.
 func (at *attempt) halt(ctx context.Context, job carawayshift.Job) {
 	covered := at.checkpoint(ctx)
-	at.settle(ctx, at.stopTask)
+	at.settle(ctx)
 	at.log.WithField("reason", job.Reason).WithField("checkpoint", covered).Info("gang stopped")
 	at.record(ctx, carawayshift.JobStopped, carawayshift.JobChange{Checkpoint: covered, Reason: job.Reason})
 }
@@ -146,7 +146,7 @@
 // giveUp stops all members and returns the job to the queue.
 func (at *attempt) giveUp(ctx context.Context, reason string) {
 	at.log.WithField("reason", reason).Warn("attempt ends")
-	at.settle(ctx, at.stopTask)
+	at.settle(ctx)
 	at.record(ctx, carawayshift.JobStopped, carawayshift.JobChange{Reason: reason})
 }
 
@@ -173,24 +173,24 @@
 	return least
 }
 
-// settle calls fn for each task until it succeeds or until all leases have
+// settle stops each task until its worker confirms or until all leases have
 // expired, so that no task runs afterwards.
-func (at *attempt) settle(ctx context.Context, fn func(context.Context, int) error) {
+func (at *attempt) settle(ctx context.Context) {
 	var wg sync.WaitGroup
 	for i := range at.specs {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			at.settleTask(ctx, i, fn)
+			at.settleTask(ctx, i)
 		}()
 	}
 	wg.Wait()
 }
 
-func (at *attempt) settleTask(ctx context.Context, i int, fn func(context.Context, int) error) {
+func (at *attempt) settleTask(ctx context.Context, i int) {
 	for ctx.Err() == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
-		err := fn(c, i)
+		err := at.stopTask(c, i)
 		cancel()
 		if err == nil || at.expired(ctx) {
 			return
