state: bring jobs to a rest state in one place

Cause: cancel and hold repeated the choice between an immediate end and a stop. Change: bringTo serves both; behaviour stays as it is. Checked: the tests of internal/state pass unchanged.

--- a/internal/state/operatorjobs.go
+++ b/internal/state/operatorjobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"carawayshift.example/carawayshift"
 )
@@ -91,11 +92,7 @@
 	if j.StopTo == carawayshift.JobCancelled {
 		return refused(fmt.Sprintf("job %d is already being cancelled", j.ID), fmt.Sprintf("type: why job %d", j.ID))
 	}
-	if j.Active() {
-		m.put(stopping(j, carawayshift.JobCancelled, reason(c, "cancelled")))
-		return nil
-	}
-	m.put(settle(j, carawayshift.JobCancelled, c.At, reason(c, "cancelled")))
+	m.bringTo(j, carawayshift.JobCancelled, c.At, reason(c, "cancelled"))
 	return nil
 }
 
@@ -110,12 +107,18 @@
 	if j.StopTo == carawayshift.JobCancelled {
 		return refused(fmt.Sprintf("job %d is being cancelled", j.ID), fmt.Sprintf("type: why job %d", j.ID))
 	}
+	m.bringTo(j, carawayshift.JobHeld, c.At, reason(c, "held"))
+	return nil
+}
+
+// bringTo moves a job to a rest state: at once when it occupies nothing, and
+// through stopping when it does.
+func (m *Machine) bringTo(j carawayshift.Job, to carawayshift.JobState, at time.Time, why string) {
 	if j.Active() {
-		m.put(stopping(j, carawayshift.JobHeld, reason(c, "held")))
-		return nil
+		m.put(stopping(j, to, why))
+		return
 	}
-	m.put(settle(j, carawayshift.JobHeld, c.At, reason(c, "held")))
-	return nil
+	m.put(settle(j, to, at, why))
 }
 
 func releaseJob(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
