Answer for an unready copy in the operators' handler, convert errors once

Cause: internal/server wrapped the operators' handler with a second form of its refusal, and four interfaces repeated the conversion of an error to an Error. Change: operator.Config.Ready is checked by the handler itself, which answers with its usual refusal: the text now has the remedy on a line of its own, as all refusals do. carawayshift.AsError converts. A deferred call and a one-line wrapper that did nothing more are gone.

--- a/errors.go
+++ b/errors.go
@@ -49,6 +49,16 @@
 	return string(e.Kind) + ": " + e.Text + "; " + e.Remedy
 }
 
+// AsError returns the first Error in err's chain. Any other error becomes one of
+// the given kind and remedy, so that an interface can always say both.
+func AsError(err error, kind Kind, remedy string) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return NewError(kind, err.Error(), remedy)
+}
+
 // KindOf returns the kind of the first Error in err's chain, or an empty kind.
 func KindOf(err error) Kind {
 	var e *Error
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -67,6 +67,9 @@
 	Workers func() []carawayshift.Worker
 	Runners func() []carawayshift.Runner
 	Planner carawayshift.Planner
+	// Ready returns nil when the local copy may be shown: it is not older than
+	// one that was shown before. Nil is always ready.
+	Ready func() error
 	// Hosts returns all entry hosts, this one included.
 	Hosts func(ctx context.Context) []HostVersion
 	// Age returns the time since the local state was known to be current. By
@@ -86,6 +89,9 @@
 	if cfg.Runners == nil {
 		cfg.Runners = func() []carawayshift.Runner { return nil }
 	}
+	if cfg.Ready == nil {
+		cfg.Ready = func() error { return nil }
+	}
 	if cfg.Logger == nil {
 		silent := logrus.New()
 		silent.SetOutput(io.Discard)
@@ -131,6 +137,10 @@
 		write(w, http.StatusMethodNotAllowed, failure(malformed("only POST is served", "send POST /v1/statements")))
 		return
 	}
+	if err := h.cfg.Ready(); err != nil {
+		write(w, status(carawayshift.KindOf(err)), failure(err))
+		return
+	}
 	q, err := readRequest(w, r)
 	if err != nil {
 		write(w, status(carawayshift.KindOf(err)), failure(err))
@@ -186,10 +196,7 @@
 
 // failure returns the reply for an error.
 func failure(err error) reply {
-	var e *carawayshift.Error
-	if !errors.As(err, &e) {
-		e = carawayshift.NewError(carawayshift.Unavailable, err.Error(), "try another entry host")
-	}
+	e := carawayshift.AsError(err, carawayshift.Unavailable, "try another entry host")
 	a := reply{Kind: e.Kind, Error: e.Text, Remedy: e.Remedy}
 	a.Text = string(e.Kind) + ": " + e.Text + "\n"
 	if e.Remedy != "" {
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/cockroachdb/errors"
-
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/pkg/replica"
 )
@@ -67,10 +65,7 @@
 }
 
 func writeMemberError(w http.ResponseWriter, err error) {
-	var e *carawayshift.Error
-	if !errors.As(err, &e) {
-		e = carawayshift.NewError(carawayshift.Unavailable, err.Error(), "try another control host")
-	}
+	e := carawayshift.AsError(err, carawayshift.Unavailable, "try another control host")
 	status := http.StatusConflict
 	switch e.Kind {
 	case carawayshift.Malformed, carawayshift.NotFound:
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"path/filepath"
 	"time"
 
@@ -35,7 +36,7 @@
 func newMesh(o Options, set *metrics.Set) (*host.Mesh, error) {
 	var peers []host.Peer
 	for _, p := range o.Settings.Peers {
-		peers = append(peers, host.Peer{Name: p.Name, Zone: p.Zone, Region: p.Region, Addr: udpAddr(p.Peers)})
+		peers = append(peers, host.Peer{Name: p.Name, Zone: p.Zone, Region: p.Region, Addr: net.UDPAddrFromAddrPort(p.Peers)})
 	}
 	m, err := host.New(host.Config{
 		Name: o.Settings.Host.Name, Zone: o.Settings.Host.Zone, Peers: peers, Conn: o.Peers,
@@ -112,7 +113,7 @@
 		age = c.follower.Age
 	}
 	return operator.New(operator.Config{
-		Age: age, Log: c.Log, State: c.machine.State, Wait: c.wait,
+		Age: age, Ready: c.confirmed, Log: c.Log, State: c.machine.State, Wait: c.wait,
 		Workers: func() []carawayshift.Worker { return w.Everywhere(context.Background()) },
 		Runners: p.All, Planner: planner, Hosts: v.all, Logger: o.Log,
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/caller"
 	"carawayshift.example/carawayshift/internal/gang"
 	"carawayshift.example/carawayshift/internal/host"
@@ -71,14 +68,11 @@
 	}
 }
 
-func udpAddr(a netip.AddrPort) net.Addr { return net.UDPAddrFromAddrPort(a) }
-
 // Run serves until ctx ends, then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
 	defer s.closers()
 	// The parts outlive ctx by the time of the graceful stop.
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
@@ -161,37 +155,12 @@
 
 func (s *Server) operatorMux() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/v1/statements", s.statements)
+	mux.Handle("/v1/statements", s.operator)
 	mux.HandleFunc("POST /v1/members", s.changeMembers)
 	s.handlePlatform(mux)
 	return mux
 }
 
-// statements answers operators only from a confirmed copy of the state, so that
-// no host shows a version older than one that was shown before.
-func (s *Server) statements(w http.ResponseWriter, r *http.Request) {
-	err := s.control.confirmed()
-	if err == nil {
-		s.operator.ServeHTTP(w, r)
-		return
-	}
-	var e *carawayshift.Error
-	if !errors.As(err, &e) {
-		e = carawayshift.NewError(carawayshift.Unavailable, err.Error(), "ask another host")
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusServiceUnavailable)
-	_ = json.NewEncoder(w).Encode(unavailable{Text: e.Error() + "\n", Error: e.Text, Kind: e.Kind, Remedy: e.Remedy})
-}
-
-// unavailable is the answer of a host that may not show its state.
-type unavailable struct {
-	Text   string            `json:"text"`
-	Error  string            `json:"error"`
-	Kind   carawayshift.Kind `json:"kind"`
-	Remedy string            `json:"remedy"`
-}
-
 func (s *Server) handlePlatform(mux *http.ServeMux) {
 	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
 		mux.Handle(path, s.platform)
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -293,10 +293,7 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var e *carawayshift.Error
-	if !errors.As(err, &e) {
-		e = carawayshift.NewError(carawayshift.Malformed, err.Error(), "")
-	}
+	e := carawayshift.AsError(err, carawayshift.Malformed, "")
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusBadRequest)
 	_ = json.NewEncoder(w).Encode(refusal{Error: e.Text, Kind: string(e.Kind), Remedy: e.Remedy})
