--- /dev/null
+++ b/agent.go
@@ -0,0 +1,139 @@
+package carawayshift
+
+import (
+	"context"
+	"time"
+)
+
+// Agent is one life of a runner that executes tasks of batches.
+type Agent struct {
+	ID string `cbor:"1,keyasint" json:"id"`
+	// Life is the runner's start in Unix milliseconds: a runner that starts
+	// again may keep its ID.
+	Life    int64  `cbor:"2,keyasint" json:"life"`
+	Service string `cbor:"3,keyasint" json:"service"`
+	Zone    string `cbor:"4,keyasint" json:"zone"`
+	Address string `cbor:"5,keyasint" json:"address"`
+	Machine string `cbor:"6,keyasint,omitempty" json:"machine,omitempty"`
+	Rack    string `cbor:"7,keyasint,omitempty" json:"rack,omitempty"`
+	// Labels include the kind and the rack.
+	Labels       []string `cbor:"8,keyasint,omitempty" json:"labels,omitempty"`
+	MilliCores   int      `cbor:"9,keyasint,omitempty" json:"millicores"`
+	Memory       int      `cbor:"10,keyasint,omitempty" json:"memory"`
+	Accelerators int      `cbor:"11,keyasint,omitempty" json:"accelerators"`
+	Leaving      bool     `cbor:"12,keyasint,omitempty" json:"leaving,omitempty"`
+	// Left is the least time until a leaving runner ends.
+	Left time.Duration `cbor:"13,keyasint,omitempty" json:"left,omitempty"`
+	// Clock is the runner's steady clock at the report.
+	Clock time.Duration `cbor:"14,keyasint,omitempty" json:"clock"`
+	// Sequence rises with each report of one life.
+	Sequence uint64 `cbor:"15,keyasint,omitempty" json:"sequence"`
+}
+
+// AgentOrder is what every call to a runner carries.
+type AgentOrder struct {
+	Agent Agent
+	// Fence is the fencing token: a runner does nothing for a lower one than
+	// it has seen.
+	Fence uint64
+}
+
+// RunOrder starts a run.
+type RunOrder struct {
+	Task       TaskName
+	Run        int
+	Spec       string
+	Checkpoint string
+	// Ticket admits the step on an advised queue.
+	Ticket string
+	// Until is the end of the lease on the runner's clock.
+	Until time.Duration
+}
+
+// RunReport is a run that a runner lists as present.
+type RunReport struct {
+	Task       TaskName
+	Run        int
+	Checkpoint string
+	// Percent is the share of its speed at which the task works.
+	Percent int
+	// Load is the tail of the response times in ms of a lasting task, and the
+	// used millicores of any other.
+	Load int
+}
+
+// EndReport is a run's end that a runner lists until it is acknowledged.
+type EndReport struct {
+	Number uint64
+	RunEnd
+}
+
+// AgentStatus is a runner's answer to a Hold.
+type AgentStatus struct {
+	Clock   time.Duration
+	Life    int64
+	Running []RunReport
+	Ended   []EndReport
+}
+
+// Refusal is why a runner refused a start.
+type Refusal string
+
+// Refusals of a start. The runner has done nothing.
+const (
+	RefusedFence   Refusal = "fence"
+	RefusedOld     Refusal = "old"
+	RefusedLate    Refusal = "late"
+	RefusedRoom    Refusal = "room"
+	RefusedTicket  Refusal = "ticket"
+	RefusedLife    Refusal = "life"
+	RefusedSick    Refusal = "unhealthy"
+	RefusedInvalid Refusal = "invalid"
+)
+
+// RefusalError is the answer of a runner that did nothing.
+type RefusalError struct {
+	Reason Refusal
+}
+
+func (e *RefusalError) Error() string {
+	return "the runner refused: " + string(e.Reason) + "; place the task again"
+}
+
+// AgentClient calls runners. An error that is no RefusalError leaves it open
+// whether the call was carried out, or will be; kind NotRun says that nobody
+// listens at the address.
+type AgentClient interface {
+	Start(ctx context.Context, o AgentOrder, r RunOrder) (clock time.Duration, err error)
+	Stop(ctx context.Context, o AgentOrder, task TaskName, run int) (clock time.Duration, err error)
+	// Hold extends the lease to until, acknowledges ends up to seen, and waits
+	// up to wait for a new end.
+	Hold(ctx context.Context, o AgentOrder, seen uint64, until, wait time.Duration) (AgentStatus, error)
+}
+
+// Address is what a caller's request names.
+type Address struct {
+	Host string `cbor:"1,keyasint" json:"host"`
+	Path string `cbor:"2,keyasint" json:"path"`
+	Key  string `cbor:"3,keyasint,omitempty" json:"-"`
+}
+
+// Intake answers callers. Errors: NotFound for an unknown queue, Gone for an
+// unknown batch, Unauthorized for an unknown key, Limited or NotRun when a
+// batch was refused and never runs, OutcomeUnknown when that is unclear.
+type Intake interface {
+	Submit(ctx context.Context, at Address, b Batch) error
+	State(ctx context.Context, at Address) (BatchState, error)
+	Cancel(ctx context.Context, at Address) error
+	// Waiting counts the queue's batches of which no task has started.
+	Waiting(ctx context.Context, at Address) (int, error)
+}
+
+// Governor answers operators and runners.
+type Governor interface {
+	Replace(ctx context.Context, c Catalog) error
+	Catalog(ctx context.Context) (source []byte, err error)
+	SetZone(ctx context.Context, zone string, out bool) error
+	Report(ctx context.Context, a Agent) error
+	Leave(ctx context.Context, id string) error
+}
--- /dev/null
+++ b/catalog.go
@@ -0,0 +1,66 @@
+package carawayshift
+
+import "time"
+
+// Catalog is the configuration that operators replace as a whole: queues,
+// the services behind them, and the teams' keys and guarantees.
+type Catalog struct {
+	// Number is the operators' version; the highest one is in force.
+	Number   uint64        `cbor:"1,keyasint" json:"number"`
+	Queues   []Queue       `cbor:"2,keyasint" json:"queues"`
+	Services []Service     `cbor:"3,keyasint" json:"services"`
+	Members  []Membership  `cbor:"4,keyasint" json:"members"`
+	Limits   RequestLimits `cbor:"5,keyasint" json:"limits"`
+	// Source is the text as it was sent, which reads return.
+	Source []byte `cbor:"6,keyasint" json:"-"`
+}
+
+// Queue takes batches whose host and path prefix match.
+type Queue struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Host    string `cbor:"2,keyasint" json:"host"`
+	Prefix  string `cbor:"3,keyasint" json:"prefix"`
+	Service string `cbor:"4,keyasint" json:"service"`
+	// Priority 0 comes first and may preempt the others.
+	Priority int `cbor:"5,keyasint,omitempty" json:"priority"`
+	// Attempts is the number of failed runs of a task that fail its batch.
+	Attempts int `cbor:"6,keyasint,omitempty" json:"attempts"`
+	// Stretch and Latency give a batch's objective: Stretch times its longest
+	// chain of work, and Latency more.
+	Stretch float64       `cbor:"7,keyasint,omitempty" json:"stretch"`
+	Latency time.Duration `cbor:"8,keyasint,omitempty" json:"latency"`
+	// Timeout bounds one call of a caller.
+	Timeout time.Duration `cbor:"9,keyasint,omitempty" json:"timeout"`
+	// Public queues need no key.
+	Public bool `cbor:"10,keyasint,omitempty" json:"public,omitempty"`
+	// Advised queues need a ticket for each step and runner.
+	Advised bool `cbor:"11,keyasint,omitempty" json:"advised,omitempty"`
+}
+
+// Service is a pool of runners.
+type Service struct {
+	Name string `cbor:"1,keyasint" json:"name"`
+	// Guarded runners refuse what does not fit on them.
+	Guarded bool `cbor:"2,keyasint,omitempty" json:"guarded,omitempty"`
+	// Standby machines are off.
+	Standby bool `cbor:"3,keyasint,omitempty" json:"standby,omitempty"`
+	// Connections is the number of connections that a runner accepts.
+	Connections int `cbor:"4,keyasint,omitempty" json:"connections,omitempty"`
+}
+
+// Membership is a team in the catalog.
+type Membership struct {
+	Team string   `cbor:"1,keyasint" json:"team"`
+	Keys []string `cbor:"2,keyasint,omitempty" json:"-"`
+	// Guarantee is the number of accelerators that belong to the team's
+	// batches of priority 0.
+	Guarantee int `cbor:"3,keyasint,omitempty" json:"guarantee"`
+}
+
+// RequestLimits bound the callers' requests.
+type RequestLimits struct {
+	Header        int           `cbor:"1,keyasint,omitempty" json:"header"`
+	Body          int           `cbor:"2,keyasint,omitempty" json:"body"`
+	HeaderTimeout time.Duration `cbor:"3,keyasint,omitempty" json:"headertimeout"`
+	IdleTimeout   time.Duration `cbor:"4,keyasint,omitempty" json:"idletimeout"`
+}
--- a/cmd/carawayshift/serve.go
+++ b/cmd/carawayshift/serve.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -11,6 +15,7 @@
 	"carawayshift.example/carawayshift/internal/keys"
 	"carawayshift.example/carawayshift/internal/server"
 	"carawayshift.example/carawayshift/internal/settings"
+	"carawayshift.example/carawayshift/internal/station"
 )
 
 type serveCmd struct {
@@ -25,7 +30,10 @@
 	if err != nil {
 		return errors.Wrapf(err, "%s, run \"carawayshift check %s\"", c.Settings, c.Settings)
 	}
-	o := server.Options{Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name), FirstStart: c.FirstStart}
+	if cfg.Joins() {
+		return c.serveStation(ctx, cfg)
+	}
+	o := server.Options{Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name, os.Stderr), FirstStart: c.FirstStart}
 	if o.ServerTLS, o.ClientTLS, err = keys.Load(cfg.TLS.CA, cfg.TLS.Cert, cfg.TLS.Key); err != nil {
 		return err
 	}
@@ -40,6 +48,23 @@
 	return s.Run(ctx)
 }
 
+// serveStation runs a host of a deployment whose hosts find each other.
+func (c *serveCmd) serveStation(ctx context.Context, cfg settings.Settings) error {
+	// SIGHUP announces new settings, which the host notices by itself.
+	signal.Ignore(syscall.SIGHUP)
+	if cfg.Limits.Memory > 0 {
+		debug.SetMemoryLimit(cfg.Limits.Memory / 4 * 3)
+	}
+	s, err := station.New(station.Options{
+		Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name, os.Stdout),
+		Reload: func() (settings.Settings, error) { return settings.Load(c.Settings) },
+	})
+	if err != nil {
+		return err
+	}
+	return s.Run(ctx)
+}
+
 func listen(o *server.Options) error {
 	var err error
 	if o.HTTP, err = net.Listen("tcp", o.Settings.Listen.HTTP.String()); err != nil {
@@ -52,9 +77,9 @@
 	return errors.Wrap(err, "listen for other hosts, see [listen] peers")
 }
 
-func newLog(cfg settings.Log, host string) logrus.FieldLogger {
+func newLog(cfg settings.Log, host string, out io.Writer) logrus.FieldLogger {
 	l := logrus.New()
-	l.SetOutput(os.Stderr)
+	l.SetOutput(out)
 	if level, err := logrus.ParseLevel(cfg.Level); err == nil {
 		l.SetLevel(level)
 	}
--- a/command.go
+++ b/command.go
@@ -39,6 +39,9 @@
 	// SaveCheckpoint records the run time that a job's checkpoint covers.
 	SaveCheckpoint   CommandKind = "save checkpoint"
 	QuarantineWorker CommandKind = "quarantine worker"
+	// ChangeBatches submits and cancels batches, records their runs and
+	// replaces the catalog.
+	ChangeBatches CommandKind = "change batches"
 )
 
 // Command is one entry of the replicated log. Which fields are read depends
@@ -71,7 +74,8 @@
 	Until time.Time `cbor:"14,keyasint,omitempty" json:"until,omitempty"`
 	// Workers is the view of the workers against which SetTeam and CreateTeam
 	// check that the guarantees can be packed. The proposer fills it in.
-	Workers []Worker `cbor:"15,keyasint,omitempty" json:"-"`
+	Workers []Worker     `cbor:"15,keyasint,omitempty" json:"-"`
+	Batches *BatchChange `cbor:"16,keyasint,omitempty" json:"batches,omitempty"`
 }
 
 // JobChange is a change of one job's state.
--- /dev/null
+++ b/demand.go
@@ -0,0 +1,95 @@
+package carawayshift
+
+import "time"
+
+// Demand is the waiting tasks of one step.
+type Demand struct {
+	Batch      string
+	Occurrence int
+	Step       int
+	// Indexes are the waiting tasks; a gang waits as a whole.
+	Indexes []int
+	// Runs holds the number of the next run of each task in Indexes.
+	Runs     []int
+	Team     string
+	Queue    Queue
+	Need     Step
+	Accepted time.Time
+	// Due is when the batch misses its objective, by the declared run times.
+	Due time.Time
+	// First says that no task of the batch's first step has been ordered, or
+	// that some of them still wait.
+	First bool
+	// Present counts the open runs of the step on each runner.
+	Present map[string]int
+}
+
+// Task returns the name of the i-th waiting task.
+func (d Demand) Task(i int) TaskName {
+	return TaskName{Batch: d.Batch, Occurrence: d.Occurrence, Step: d.Step, Index: d.Indexes[i]}
+}
+
+// Holding is an open run, which occupies its runner.
+type Holding struct {
+	Task       TaskName
+	Run        int
+	Runner     string
+	Life       int64
+	Team       string
+	Priority   int
+	Need       Step
+	Ordered    time.Time
+	Checkpoint string
+	// Unwanted runs belong to a batch that has ended.
+	Unwanted bool
+	// Stopping runs have been told to stop.
+	Stopping bool
+}
+
+// Load is what the dispatcher sees: demands in the order of acceptance.
+type Load struct {
+	Now      time.Time
+	Agents   []Agent
+	Holdings []Holding
+	Demands  []Demand
+	// Guarantees maps teams to their accelerators for priority 0.
+	Guarantees map[string]int
+	// Closed are the zones that take no work.
+	Closed map[string]bool
+}
+
+// Dispatch is a decision for one Load.
+type Dispatch struct {
+	Starts []DispatchStart
+	Stops  []DispatchStop
+	// Waits explains each demand that keeps waiting.
+	Waits []DispatchWait
+}
+
+// DispatchStart puts a task on a runner. The members of a gang are adjacent.
+type DispatchStart struct {
+	RunStart
+	// Alternatives is the number of other runners that would have fit.
+	Alternatives int
+}
+
+// DispatchStop preempts a run.
+type DispatchStop struct {
+	Task   TaskName
+	Run    int
+	Runner string
+	// For is the batch that gets the room.
+	For string
+}
+
+// DispatchWait explains why a demand waits.
+type DispatchWait struct {
+	Batch string
+	Rule  string
+}
+
+// Dispatcher decides which tasks run where. It is a pure function of its
+// input.
+type Dispatcher interface {
+	Dispatch(l Load) Dispatch
+}
--- a/errors.go
+++ b/errors.go
@@ -26,6 +26,10 @@
 	NotFound Kind = "not found"
 	// Refused says that a rule of the scheduler forbids the change.
 	Refused Kind = "refused"
+	// Gone says that a batch is not known, or was forgotten after its end.
+	Gone Kind = "gone"
+	// Unauthorized says that the key belongs to no team.
+	Unauthorized Kind = "unauthorized"
 )
 
 // Error is an error with a kind and a remedy. Error() prints both, so that
--- /dev/null
+++ b/internal/dispatcher/hold.go
@@ -0,0 +1,179 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+)
+
+// loop holds the runner's leases while something runs there, and otherwise
+// waits for work.
+func (s *session) loop() {
+	for s.ctx.Err() == nil {
+		busy, ack := s.work()
+		if !busy && !ack {
+			select {
+			case <-s.ctx.Done():
+			case <-s.wake:
+			}
+			continue
+		}
+		wait := holdWait
+		if !busy {
+			wait = 0
+		}
+		sent := time.Now()
+		st, err := s.hold(wait)
+		if err != nil {
+			s.missed(err)
+			continue
+		}
+		s.heard(st, sent)
+	}
+}
+
+// work tells whether a run needs its lease, and whether ends wait for their
+// acknowledgement.
+func (s *session) work() (busy, ack bool) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	for _, r := range s.runs {
+		busy = busy || !r.settled.IsZero()
+	}
+	return busy, s.recorded > s.acked
+}
+
+func (s *session) hold(wait time.Duration) (carawayshift.AgentStatus, error) {
+	s.t.mu.Lock()
+	order, seen, until := s.order(), s.recorded, s.lease()
+	for _, r := range s.runs {
+		// A run that is about to end is worth a look soon.
+		if r.stopping {
+			wait = min(wait, s.t.d.cfg.Timing.Stop)
+		}
+	}
+	s.t.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
+	defer cancel()
+	st, err := s.t.d.cfg.Client.Hold(ctx, order, seen, until, wait)
+	if err != nil {
+		return st, err
+	}
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.acked = max(s.acked, seen)
+	s.refused = 0
+	s.noteClock(st.Clock)
+	return st, nil
+}
+
+// missed handles a hold without an answer. Once the leases have certainly
+// ended, the runner's runs are lost.
+func (s *session) missed(err error) {
+	if s.judge(err) {
+		return
+	}
+	s.log.WithError(err).WithField("event", "hold failed").Warn("runner did not answer")
+	s.t.mu.Lock()
+	lapsed := s.clockLow(time.Now()) > s.until+s.t.d.cfg.Timing.Stop
+	s.t.mu.Unlock()
+	if lapsed {
+		s.t.drop(s, "its leases have expired")
+		return
+	}
+	sleep(s.ctx, refusalPause)
+}
+
+// heard takes a runner's lists: ends go to the log, runs that are not listed
+// are lost, and what should not run is stopped.
+func (s *session) heard(st carawayshift.AgentStatus, sent time.Time) {
+	if st.Life != 0 && s.agent.Life != 0 && st.Life != s.agent.Life {
+		s.t.drop(s, "the runner started again")
+		return
+	}
+	wait := s.takeEnds(st.Ended)
+	s.compare(st, sent)
+	if wait != nil {
+		select {
+		case <-wait:
+		case <-s.ctx.Done():
+		}
+	}
+}
+
+// takeEnds passes new ends on to the log. The channel is closed when all are
+// committed; it is nil without new ends.
+func (s *session) takeEnds(list []carawayshift.EndReport) <-chan struct{} {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	var last chan struct{}
+	for _, e := range list {
+		if e.Number <= s.listed {
+			continue
+		}
+		s.listed = e.Number
+		done := make(chan struct{})
+		last = done
+		number := e.Number
+		if r := s.runs[e.Task]; r != nil && r.run == e.Run {
+			r.ended = true
+		}
+		s.t.queueEnd(e.RunEnd, func() { s.noteRecorded(e.RunEnd, number, done) })
+	}
+	if last == nil {
+		return nil
+	}
+	return last
+}
+
+func (s *session) noteRecorded(e carawayshift.RunEnd, number uint64, done chan struct{}) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.recorded = max(s.recorded, number)
+	if r := s.runs[e.Task]; r != nil && r.run == e.Run {
+		delete(s.runs, e.Task)
+	}
+	close(done)
+}
+
+// compare sets the runner's list of runs against the runs that should be
+// there.
+func (s *session) compare(st carawayshift.AgentStatus, sent time.Time) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	listed := map[carawayshift.TaskName]int{}
+	for _, r := range st.Running {
+		listed[r.Task] = r.Run
+		known := s.runs[r.Task]
+		if known != nil && known.run == r.Run {
+			if r.Checkpoint != "" {
+				known.checkpoint = r.Checkpoint
+			}
+			continue
+		}
+		s.unexpected(r)
+	}
+	for task, r := range s.runs {
+		if listed[task] == r.run || r.ended || r.settled.IsZero() || !r.settled.Before(sent) {
+			continue
+		}
+		s.log.WithFields(logrus.Fields{"event": "run missing", "task": task.String(), "run": r.run}).Warn("runner does not list the run")
+		s.lose(task, r.run)
+	}
+}
+
+// unexpected stops a run that a late order began. It needs t.mu.
+func (s *session) unexpected(r carawayshift.RunReport) {
+	s.log.WithFields(logrus.Fields{"event": "run unexpected", "task": r.Task.String(), "run": r.Run}).Warn("stopping a run that was begun late")
+	order := s.order()
+	s.t.spawn(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+		defer cancel()
+		if _, err := s.t.d.cfg.Client.Stop(ctx, order, r.Task, r.Run); err != nil {
+			s.judge(err) // the next hold lists the run again
+		}
+	})
+}
--- /dev/null
+++ b/internal/dispatcher/tenure.go
@@ -0,0 +1,379 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+)
+
+// tenure is one term of leadership.
+type tenure struct {
+	d     *Dispatcher
+	term  uint64
+	began time.Time
+	log   logrus.FieldLogger
+	// resign ends the tenure.
+	resign context.CancelFunc
+	ctx    context.Context
+
+	mu       sync.Mutex
+	sessions map[string]*session // by runner id
+	// stopping holds the runs that were told to stop.
+	stopping map[carawayshift.TaskName]int
+	// sent holds the runs whose order this tenure has sent or taken over.
+	sent map[carawayshift.TaskName]int
+	ends []endReport
+	wg   sync.WaitGroup
+	// recorded is signalled when ends wait for their commit.
+	ended chan struct{}
+}
+
+// endReport is an end that waits for its commit. After it done is called.
+type endReport struct {
+	end  carawayshift.RunEnd
+	at   time.Time
+	done func()
+}
+
+func newTenure(d *Dispatcher, term uint64, resign context.CancelFunc) *tenure {
+	return &tenure{
+		d: d, term: term, began: time.Now(), resign: resign,
+		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
+		sessions: map[string]*session{}, stopping: map[carawayshift.TaskName]int{},
+		sent: map[carawayshift.TaskName]int{}, ended: make(chan struct{}, 1),
+	}
+}
+
+// spawn runs fn in a goroutine that wait waits for.
+func (t *tenure) spawn(fn func()) { t.wg.Go(fn) }
+
+func (t *tenure) wait() { t.wg.Wait() }
+
+// run plans until the tenure ends.
+func (t *tenure) run(ctx context.Context) {
+	t.mu.Lock()
+	t.ctx = ctx
+	t.mu.Unlock()
+	t.spawn(func() { t.record(ctx) })
+	for ctx.Err() == nil {
+		next := t.step(ctx)
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+		case <-t.d.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// step makes one plan and carries it out. It returns the time until the next
+// one without an event.
+func (t *tenure) step(ctx context.Context) time.Duration {
+	now := time.Now()
+	due, next := t.d.cfg.Table.DueBy(now)
+	if len(due) > 0 {
+		if err := t.propose(ctx, &carawayshift.BatchChange{Due: due}); err != nil {
+			return planEvery
+		}
+	}
+	load := t.load(now)
+	t.dropLapsed(load)
+	plan := t.d.cfg.Planner.Dispatch(load)
+	t.preempt(plan.Stops)
+	t.start(ctx, plan.Starts)
+	if !next.IsZero() {
+		return max(0, min(planEvery, time.Until(next)))
+	}
+	return planEvery
+}
+
+// propose commits a change.
+func (t *tenure) propose(ctx context.Context, c *carawayshift.BatchChange) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	now := time.Now()
+	c.Forget = now.Add(-t.d.cfg.Timing.Keep)
+	a, err := t.d.cfg.Log.Propose(ctx, carawayshift.Command{Kind: carawayshift.ChangeBatches, At: now.UTC(), Batches: c})
+	if err == nil {
+		err = a.Err()
+	}
+	if err != nil {
+		t.log.WithError(err).Warn("change of batches not committed")
+	}
+	return err
+}
+
+// load is the planner's view: runners with fresh reports, and the open runs.
+func (t *tenure) load(now time.Time) carawayshift.Load {
+	demands, holdings := t.d.cfg.Table.Survey()
+	l := carawayshift.Load{Now: now, Demands: demands, Guarantees: map[string]int{}, Closed: t.d.cfg.Closed()}
+	for _, m := range t.d.cfg.Table.Catalog().Members {
+		l.Guarantees[m.Team] = m.Guarantee
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.sessions {
+		if a, ok := s.usable(now); ok {
+			l.Agents = append(l.Agents, a)
+		}
+	}
+	for _, h := range holdings {
+		h.Stopping = t.stopping[h.Task] == h.Run
+		if h.Unwanted && !h.Stopping {
+			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its batch has ended")
+		}
+		l.Holdings = append(l.Holdings, h)
+	}
+	return l
+}
+
+// dropLapsed records as lost the runs that were ordered before this tenure and
+// whose runner is not known, once their leases have certainly ended.
+func (t *tenure) dropLapsed(l carawayshift.Load) {
+	for _, h := range l.Holdings {
+		if t.adopt(h) {
+			continue
+		}
+		if time.Since(t.began) > t.lapse() {
+			t.report1(carawayshift.RunEnd{Task: h.Task, Run: h.Run, Ending: carawayshift.RunLost, Checkpoint: h.Checkpoint}, nil)
+		}
+	}
+}
+
+// lapse is the time after which a lease that was given before has ended, on a
+// runner whose clock is slow.
+func (t *tenure) lapse() time.Duration {
+	lease := float64(t.d.cfg.Timing.Lease)
+	return time.Duration(lease*(1+2*clockDrift)) + callTimeout
+}
+
+// adopt gives a run of an earlier tenure to its runner's session. It reports
+// whether a session has it.
+func (t *tenure) adopt(h carawayshift.Holding) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sent[h.Task] == h.Run {
+		return true
+	}
+	s := t.sessions[h.Runner]
+	if s == nil {
+		return false
+	}
+	t.sent[h.Task] = h.Run
+	if s.agent.Life != h.Life {
+		t.queueEnd(carawayshift.RunEnd{Task: h.Task, Run: h.Run, Ending: carawayshift.RunLost, Checkpoint: h.Checkpoint}, nil)
+		return true
+	}
+	s.adopt(h)
+	return true
+}
+
+// start commits the starts and hands the accepted ones to the sessions.
+func (t *tenure) start(ctx context.Context, starts []carawayshift.DispatchStart) {
+	if len(starts) == 0 {
+		return
+	}
+	c := &carawayshift.BatchChange{}
+	for _, s := range starts {
+		c.Starts = append(c.Starts, s.RunStart)
+	}
+	asked := time.Now()
+	if t.propose(ctx, c) != nil {
+		return
+	}
+	t.d.cfg.Metrics.GetOrCreateHistogram(`carawayshift_batch_stage_seconds{stage="commit"}`).UpdateDuration(asked)
+	for _, s := range starts {
+		if !t.d.cfg.Table.Accepted(s.RunStart) {
+			continue
+		}
+		t.log.WithFields(logrus.Fields{
+			"event": "ordered", "batch": s.Task.Batch, "task": s.Task.String(), "run": s.Run, "runner": s.Runner, "alternatives": s.Alternatives,
+		}).Info("task ordered")
+		t.order(s.RunStart)
+	}
+}
+
+func (t *tenure) order(s carawayshift.RunStart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent[s.Task] = s.Run
+	p := t.sessions[s.Runner]
+	if p == nil || p.agent.Life != s.Life {
+		t.queueEnd(carawayshift.RunEnd{Task: s.Task, Run: s.Run, Ending: carawayshift.RunLost}, nil)
+		return
+	}
+	p.begin(s)
+}
+
+// preempt stops runs for more urgent work.
+func (t *tenure) preempt(stops []carawayshift.DispatchStop) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range stops {
+		p := t.sessions[s.Runner]
+		if p != nil {
+			t.stopLocked(s.Task, s.Run, s.Runner, p.agent.Life, "preempted for "+s.For)
+		}
+	}
+}
+
+// stopLocked tells a run's session to stop it, once. It needs t.mu.
+func (t *tenure) stopLocked(task carawayshift.TaskName, run int, runner string, life int64, why string) {
+	s := t.sessions[runner]
+	if s == nil || s.agent.Life != life || t.stopping[task] == run {
+		return
+	}
+	t.stopping[task] = run
+	t.log.WithFields(logrus.Fields{
+		"event": "stopping", "batch": task.Batch, "task": task.String(), "run": run, "runner": runner, "reason": why,
+	}).Info("task stopped")
+	s.stop(task, run)
+}
+
+// stopGang stops the other open runs of a gang one of whose members ended.
+func (t *tenure) stopGang(task carawayshift.TaskName, why string) {
+	_, holdings := t.d.cfg.Table.Survey()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range holdings {
+		same := h.Task.Batch == task.Batch && h.Task.Occurrence == task.Occurrence && h.Task.Step == task.Step
+		if same && h.Need.Gang && h.Task.Index != task.Index {
+			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, why)
+		}
+	}
+}
+
+// report1 queues an end for its commit.
+func (t *tenure) report1(e carawayshift.RunEnd, done func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.queueEnd(e, done)
+}
+
+// queueEnd needs t.mu.
+func (t *tenure) queueEnd(e carawayshift.RunEnd, done func()) {
+	t.ends = append(t.ends, endReport{e, time.Now(), done})
+	select {
+	case t.ended <- struct{}{}:
+	default:
+	}
+}
+
+// record commits ends, all that wait at a time.
+func (t *tenure) record(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.ended:
+		}
+		t.mu.Lock()
+		list := t.ends
+		t.ends = nil
+		t.mu.Unlock()
+		for len(list) > 0 && ctx.Err() == nil && !t.commitEnds(ctx, list) {
+		}
+		t.d.Wake()
+	}
+}
+
+func (t *tenure) commitEnds(ctx context.Context, list []endReport) bool {
+	c := &carawayshift.BatchChange{}
+	for _, r := range list {
+		c.Ends = append(c.Ends, r.end)
+	}
+	if t.propose(ctx, c) != nil {
+		return false
+	}
+	for _, r := range list {
+		t.d.cfg.Metrics.GetOrCreateHistogram(`carawayshift_batch_stage_seconds{stage="record"}`).UpdateDuration(r.at)
+		t.log.WithFields(logrus.Fields{
+			"event": "ended", "batch": r.end.Task.Batch, "task": r.end.Task.String(), "run": r.end.Run, "outcome": r.end.Ending,
+		}).Info("end recorded")
+		t.forgetRun(r.end)
+		if r.done != nil {
+			r.done()
+		}
+	}
+	return true
+}
+
+func (t *tenure) forgetRun(e carawayshift.RunEnd) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sent[e.Task] == e.Run {
+		delete(t.sent, e.Task)
+	}
+	if t.stopping[e.Task] == e.Run {
+		delete(t.stopping, e.Task)
+	}
+}
+
+// report takes a heartbeat. A report of an older life of the runner, or one
+// that was overtaken, changes nothing.
+func (t *tenure) report(a carawayshift.Agent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctx == nil || t.ctx.Err() != nil {
+		return
+	}
+	s := t.sessions[a.ID]
+	if s != nil && a.Life == s.agent.Life {
+		s.update(a)
+		return
+	}
+	if s != nil && a.Life < s.agent.Life {
+		return
+	}
+	if s != nil {
+		s.close("the runner started again")
+	}
+	if !t.takeAddress(a) {
+		return
+	}
+	t.sessions[a.ID] = newSession(t, a)
+	t.log.WithFields(logrus.Fields{
+		"event": "runner new", "runner": a.ID, "life": a.Life, "zone": a.Zone, "rack": a.Rack, "address": a.Address,
+	}).Info("runner reported for the first time")
+	t.d.Wake()
+}
+
+// takeAddress ends the sessions of older runners at the same address. It
+// returns false when the address belongs to a newer runner. It needs t.mu.
+func (t *tenure) takeAddress(a carawayshift.Agent) bool {
+	for id, s := range t.sessions {
+		if id == a.ID || s.agent.Address != a.Address {
+			continue
+		}
+		if s.agent.Life > a.Life {
+			return false
+		}
+		s.close("another runner has its address")
+		delete(t.sessions, id)
+	}
+	return true
+}
+
+func (t *tenure) leave(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.sessions[id]; s != nil {
+		s.close("the runner has left")
+		delete(t.sessions, id)
+	}
+}
+
+// drop forgets a session whose runner has ended.
+func (t *tenure) drop(s *session, why string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.close(why)
+	if t.sessions[s.agent.ID] == s {
+		delete(t.sessions, s.agent.ID)
+	}
+}
--- a/internal/platform/handler.go
+++ b/internal/health/handler.go
@@ -1,9 +1,9 @@
-// Package platform serves what the platform asks of a process: whether it
+// Package health serves what the platform asks of a process: whether it
 // lives, whether it takes requests, and its metrics.
 //
 // # Usage
 //
-//	h := platform.New(platform.Config{Checks: []platform.Check{follower.Ready}, Metrics: []*metrics.Set{set}})
+//	h := health.New(health.Config{Checks: []health.Check{follower.Ready}, Metrics: []*metrics.Set{set}})
 //	mux.Handle("/healthz", h)
 //	mux.Handle("/readyz", h)
 //	mux.Handle("/metrics", h)
@@ -13,9 +13,10 @@
 // GET /healthz answers 200 while the process serves HTTP. GET /readyz answers
 // 200, or 503 with one reason on each line. GET /metrics answers in the
 // Prometheus text format.
-package platform
+package health
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -92,6 +93,16 @@
 	plain(w, http.StatusOK, "ready\n")
 }
 
+// Ready returns the first reason why the process takes no requests, or nil.
+func (h *Handler) Ready() error {
+	reasons := h.notReady()
+	h.logChange(strings.Join(reasons, "\n"))
+	if len(reasons) > 0 {
+		return errors.New(reasons[0])
+	}
+	return nil
+}
+
 func (h *Handler) notReady() []string {
 	h.mu.Lock()
 	stopping := h.stopping
--- a/internal/platform/handler_test.go
+++ b/internal/health/handler_test.go
@@ -1,4 +1,4 @@
-package platform
+package health
 
 import (
 	"errors"
--- a/internal/host/call.go
+++ b/internal/host/call.go
@@ -45,7 +45,7 @@
 
 // Call implements carawayshift.Transport.
 func (m *Mesh) Call(ctx context.Context, host, method string, body []byte) ([]byte, error) {
-	p := m.peers[host]
+	p := m.peer(host)
 	if p == nil {
 		return nil, carawayshift.NewError(carawayshift.NotRun, "host "+host+" is not listed", "add it to [peers] in the settings")
 	}
--- a/internal/host/mesh.go
+++ b/internal/host/mesh.go
@@ -21,7 +21,9 @@
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,7 +66,13 @@
 	Zone string
 	// Peers lists all hosts of the deployment; the one called Name is skipped.
 	Peers []Peer
-	Conn  net.PacketConn
+	// Resolve returns a host that is not listed, in deployments whose hosts
+	// find each other; nil refuses such hosts.
+	Resolve func(name string) (Peer, bool)
+	// PeerName returns the name of the other end of a connection. Default
+	// keys.PeerName.
+	PeerName func(tls.ConnectionState) (string, error)
+	Conn     net.PacketConn
 	// Server and Client are the configurations from keys.Load.
 	Server  *tls.Config
 	Client  *tls.Config
@@ -86,8 +94,10 @@
 
 	mu       sync.Mutex
 	handlers map[string]carawayshift.Handler
-	closed   bool
-	wg       sync.WaitGroup
+	// found holds the peers that were resolved.
+	found  map[string]*peer
+	closed bool
+	wg     sync.WaitGroup
 }
 
 var _ carawayshift.Transport = (*Mesh)(nil)
@@ -101,6 +111,9 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
+	if cfg.PeerName == nil {
+		cfg.PeerName = keys.PeerName
+	}
 	key, err := resetKey(cfg.Server)
 	if err != nil {
 		return nil, err
@@ -110,6 +123,7 @@
 		quic:     &quic.Transport{Conn: cfg.Conn, StatelessResetKey: key},
 		peers:    map[string]*peer{},
 		handlers: map[string]carawayshift.Handler{},
+		found:    map[string]*peer{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, p := range cfg.Peers {
@@ -194,6 +208,9 @@
 	for _, p := range m.peers {
 		p.closeAll()
 	}
+	for _, p := range m.resolved() {
+		p.closeAll()
+	}
 	_ = m.listener.Close()
 	err := m.quic.Close()
 	if e := m.cfg.Conn.Close(); err == nil && !errors.Is(e, net.ErrClosed) {
@@ -216,8 +233,8 @@
 // admit serves a connection that a peer dialled, when its certificate names a
 // host of the deployment.
 func (m *Mesh) admit(conn *quic.Conn) {
-	name, err := keys.PeerName(conn.ConnectionState().TLS)
-	p := m.peers[name]
+	name, err := m.cfg.PeerName(conn.ConnectionState().TLS)
+	p := m.peer(name)
 	if err != nil || p == nil {
 		m.count("carawayshift_mesh_peers_refused_total")
 		m.cfg.Log.WithFields(logrus.Fields{"peer": name, "address": conn.RemoteAddr()}).Warn("peer refused: its certificate names no host of the deployment")
@@ -228,6 +245,32 @@
 	m.serve(p, conn)
 }
 
+// peer returns a host of the deployment, or nil.
+func (m *Mesh) peer(name string) *peer {
+	if p := m.peers[name]; p != nil || m.cfg.Resolve == nil || name == m.cfg.Name {
+		return p
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p := m.found[name]; p != nil {
+		return p
+	}
+	resolved, ok := m.cfg.Resolve(name)
+	if !ok {
+		return nil
+	}
+	p := &peer{Peer: resolved}
+	m.found[name] = p
+	return p
+}
+
+// resolved returns the peers that were not listed.
+func (m *Mesh) resolved() []*peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.found))
+}
+
 // count counts an event. Labels are pairs of name and value.
 func (m *Mesh) count(name string, labels ...string) {
 	for i := 0; i+1 < len(labels); i += 2 {
--- /dev/null
+++ b/internal/keys/unverified.go
@@ -0,0 +1,58 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift"
+)
+
+// unverifiedValidity outlasts any process.
+const unverifiedValidity = 10 * 365 * 24 * time.Hour
+
+// Unverified returns configurations for a closed network on which no keys are handed
+// out: traffic is encrypted, and a host is believed to be the one that its
+// certificate names. Anybody who reaches the port can pose as a host.
+func Unverified(name string) (server, client *tls.Config, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "keys.Unverified")
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()), DNSNames: []string{name},
+		NotBefore: now.Add(-unverifiedValidity), NotAfter: now.Add(unverifiedValidity),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "keys.Unverified")
+	}
+	cert := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+	server, client = Configs(nil, cert)
+	server.ClientAuth = tls.RequireAnyClientCert
+	client.InsecureSkipVerify = true
+	client.VerifyConnection = func(s tls.ConnectionState) error {
+		claimed, err := ClaimedName(s)
+		if err == nil && claimed != s.ServerName {
+			err = carawayshift.NewError(carawayshift.Refused, "host "+claimed+" answers at the address of "+s.ServerName, "check the addresses of both")
+		}
+		return err
+	}
+	return server, client, nil
+}
+
+// ClaimedName returns the host name in the unverified certificate of the other
+// end.
+func ClaimedName(s tls.ConnectionState) (string, error) {
+	if len(s.PeerCertificates) == 0 || len(s.PeerCertificates[0].DNSNames) != 1 {
+		return "", carawayshift.NewError(carawayshift.Refused, "the peer's certificate names no host", "run the same release on all hosts")
+	}
+	return s.PeerCertificates[0].DNSNames[0], nil
+}
--- /dev/null
+++ b/internal/leadership/leadership.go
@@ -0,0 +1,50 @@
+// Package leadership tells whether this host leads the replicated group and
+// its copy of the state holds everything that was committed before its term.
+//
+// # Usage
+//
+//	l := leadership.New("lav1", replica)
+//	term, ok, changed := l.Term()
+package leadership
+
+import (
+	"sync"
+
+	"carawayshift.example/carawayshift/pkg/replica"
+)
+
+// Leadership watches a replica.
+type Leadership struct {
+	host    string
+	replica *replica.Replica
+
+	mu sync.Mutex
+	// ready is the newest term of which the start has been applied here.
+	ready uint64
+}
+
+// New returns the leadership of a host.
+func New(host string, r *replica.Replica) *Leadership {
+	return &Leadership{host: host, replica: r}
+}
+
+// Term returns the term in which this host leads. The channel is closed when
+// the result may have changed.
+func (l *Leadership) Term() (term uint64, ok bool, changed <-chan struct{}) {
+	_, changed = l.replica.Watch()
+	leader, term := l.replica.Leader()
+	if leader != l.host {
+		return 0, false, changed
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ready == term {
+		return term, true, changed
+	}
+	st := l.replica.Status()
+	if !st.Ready || st.Term != term || st.Applied < st.Commit {
+		return 0, false, changed
+	}
+	l.ready = term
+	return term, true, changed
+}
--- /dev/null
+++ b/internal/relay/calls.go
@@ -0,0 +1,132 @@
+package relay
+
+import (
+	"context"
+
+	"carawayshift.example/carawayshift"
+)
+
+// Submit implements carawayshift.Intake.
+func (r *Relay) Submit(ctx context.Context, at carawayshift.Address, b carawayshift.Batch) error {
+	_, err := r.call(ctx, request{Op: opSubmit, At: at, Batch: &b})
+	return err
+}
+
+// State implements carawayshift.Intake.
+func (r *Relay) State(ctx context.Context, at carawayshift.Address) (carawayshift.BatchState, error) {
+	a, err := r.call(ctx, request{Op: opState, At: at})
+	return a.State, err
+}
+
+// Cancel implements carawayshift.Intake.
+func (r *Relay) Cancel(ctx context.Context, at carawayshift.Address) error {
+	_, err := r.call(ctx, request{Op: opCancel, At: at})
+	return err
+}
+
+// Waiting implements carawayshift.Intake.
+func (r *Relay) Waiting(ctx context.Context, at carawayshift.Address) (int, error) {
+	a, err := r.call(ctx, request{Op: opWaiting, At: at})
+	return a.Count, err
+}
+
+// Replace implements carawayshift.Governor.
+func (r *Relay) Replace(ctx context.Context, c carawayshift.Catalog) error {
+	_, err := r.call(ctx, request{Op: opReplace, Catalog: &c})
+	return err
+}
+
+// Catalog implements carawayshift.Governor.
+func (r *Relay) Catalog(ctx context.Context) ([]byte, error) {
+	a, err := r.call(ctx, request{Op: opCatalog})
+	return a.Source, err
+}
+
+// SetZone implements carawayshift.Governor.
+func (r *Relay) SetZone(ctx context.Context, zone string, out bool) error {
+	_, err := r.call(ctx, request{Op: opZone, Name: zone, Out: out})
+	return err
+}
+
+// Report implements carawayshift.Governor.
+func (r *Relay) Report(ctx context.Context, a carawayshift.Agent) error {
+	_, err := r.call(ctx, request{Op: opReport, Agent: &a})
+	return err
+}
+
+// Leave implements carawayshift.Governor.
+func (r *Relay) Leave(ctx context.Context, id string) error {
+	_, err := r.call(ctx, request{Op: opLeave, Name: id})
+	return err
+}
+
+// handle answers another host's relay. A host that does not lead passes the
+// request on once.
+func (r *Relay) handle(ctx context.Context, _ string, body []byte) ([]byte, error) {
+	var q request
+	if err := carawayshift.Decode(body, &q); err != nil {
+		return nil, err
+	}
+	a := r.answer(ctx, q)
+	leader, _ := r.group.Leader()
+	if a.Kind == carawayshift.NotRun && !q.Passed && leader != "" && leader != r.cfg.Host {
+		q.Passed = true
+		passed, err := r.ask(ctx, leader, q)
+		switch {
+		case err == nil:
+			a = passed
+		case carawayshift.KindOf(err) != carawayshift.NotRun:
+			a = failure(err)
+		}
+	}
+	if a.Leader == "" {
+		a.Leader = leader
+	}
+	a.Members = r.group.Hosts()
+	return carawayshift.Encode(a)
+}
+
+// answer carries a request out on this host, if it leads.
+func (r *Relay) answer(ctx context.Context, q request) reply {
+	var a reply
+	var err error
+	switch q.Op {
+	case opSubmit:
+		if q.Batch == nil {
+			err = carawayshift.NewError(carawayshift.Malformed, "the request carries no batch", "run the same release on all hosts")
+			break
+		}
+		err = r.local.Submit(ctx, q.At, *q.Batch)
+	case opState:
+		a.State, err = r.local.State(ctx, q.At)
+	case opCancel:
+		err = r.local.Cancel(ctx, q.At)
+	case opWaiting:
+		a.Count, err = r.local.Waiting(ctx, q.At)
+	case opReplace:
+		err = r.local.Replace(ctx, *q.Catalog)
+	case opCatalog:
+		a.Source, err = r.local.Catalog(ctx)
+	case opZone:
+		err = r.local.SetZone(ctx, q.Name, q.Out)
+	case opReport:
+		err = r.local.Report(ctx, *q.Agent)
+	case opLeave:
+		err = r.local.Leave(ctx, q.Name)
+	case opMembers:
+	default:
+		err = carawayshift.NewError(carawayshift.Malformed, "unknown operation "+q.Op, "run the same release on all hosts")
+	}
+	if err != nil {
+		f := failure(err)
+		a.Kind, a.Text, a.Remedy = f.Kind, f.Text, f.Remedy
+		return a
+	}
+	a.Leader, _ = r.group.Leader()
+	return a
+}
+
+func failure(err error) reply {
+	e := carawayshift.AsError(err, carawayshift.OutcomeUnknown, "ask again with the same id")
+	return reply{Kind: e.Kind, Text: e.Text, Remedy: e.Remedy}
+}
--- a/internal/server/parts.go
+++ b/internal/server/parts.go
@@ -12,9 +12,9 @@
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/caller"
 	"carawayshift.example/carawayshift/internal/gang"
+	"carawayshift.example/carawayshift/internal/health"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/operator"
-	"carawayshift.example/carawayshift/internal/platform"
 	"carawayshift.example/carawayshift/internal/runner"
 	"carawayshift.example/carawayshift/internal/scheduler"
 	"carawayshift.example/carawayshift/internal/state"
@@ -119,8 +119,8 @@
 	})
 }
 
-func newPlatform(o Options, c *control, set *metrics.Set) *platform.Handler {
-	return platform.New(platform.Config{
-		Checks: []platform.Check{c.ready}, Metrics: []*metrics.Set{set}, Log: o.Log,
+func newPlatform(o Options, c *control, set *metrics.Set) *health.Handler {
+	return health.New(health.Config{
+		Checks: []health.Check{c.ready}, Metrics: []*metrics.Set{set}, Log: o.Log,
 	})
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -11,9 +11,9 @@
 
 	"carawayshift.example/carawayshift/internal/caller"
 	"carawayshift.example/carawayshift/internal/gang"
+	"carawayshift.example/carawayshift/internal/health"
 	"carawayshift.example/carawayshift/internal/host"
 	"carawayshift.example/carawayshift/internal/operator"
-	"carawayshift.example/carawayshift/internal/platform"
 	"carawayshift.example/carawayshift/internal/runner"
 	"carawayshift.example/carawayshift/internal/scheduler"
 	"carawayshift.example/carawayshift/internal/worker"
@@ -33,7 +33,7 @@
 // Server is one host of the deployment.
 type Server struct {
 	opts      Options
-	platform  *platform.Handler
+	platform  *health.Handler
 	mesh      *host.Mesh
 	control   *control
 	leases    *lease.Table
@@ -59,7 +59,7 @@
 	return s, nil
 }
 
-func assemble(o Options, pl *platform.Handler, mesh *host.Mesh, c *control, t *lease.Table, w *worker.Client,
+func assemble(o Options, pl *health.Handler, mesh *host.Mesh, c *control, t *lease.Table, w *worker.Client,
 	a *gang.Agent, s *scheduler.Scheduler, p *runner.Pool, r *claim.Registry, ch *caller.Handler, oh *operator.Handler,
 ) *Server {
 	return &Server{
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -54,13 +54,17 @@
 // known lists the keys of each section. A nil list stands for free names.
 var known = map[string][]string{
 	"host":     {"name", "zone", "region", "addresses"},
-	"listen":   {"http", "operators", "peers"},
+	"listen":   {"http", "operators", "peers", "entry", "ready", "control", "metrics"},
 	"tls":      {"ca", "cert", "key"},
 	"control":  {"data"},
 	"requests": {"body", "queue", "deadline"},
 	"log":      {"level", "format"},
 	"zones":    nil,
 	"peers":    nil,
+	"join":     {"seeds", "first", "voters"},
+	"runners":  {"lease", "heartbeat", "stop", "remote"},
+	"batches":  {"keep"},
+	"limits":   {"memory"},
 }
 
 type entry struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,48 @@
 	Zones map[string]string
 	// Peers lists all hosts of the deployment, this one included, by name.
 	Peers []Peer
+	// Join is set where hosts find each other without a list.
+	Join Join
+	// Runners and Batches apply to hosts that take batches.
+	Runners Runners
+	Batches Batches
+	Limits  Limits
+}
+
+// Join says how a host finds the others.
+type Join struct {
+	// Seeds are control hosts by the addresses of their transport. They may
+	// be down, cut off or replaced.
+	Seeds []netip.AddrPort
+	// First is true while the whole deployment starts for the first time: the
+	// seeds then form the replicated group.
+	First bool
+	// Voters is the number of voters that the group keeps.
+	Voters int
+}
+
+// Runners holds what the runners' platform dictates.
+type Runners struct {
+	// Lease is the longest time that a runner keeps its tasks without a call.
+	Lease time.Duration
+	// Heartbeat is the interval of the runners' reports.
+	Heartbeat time.Duration
+	// Stop is the longest time that a stop takes.
+	Stop time.Duration
+	// Remote is how many times longer tasks take away from their data.
+	Remote float64
+}
+
+// Batches holds the settings of batches.
+type Batches struct {
+	// Keep is how long the state of an ended batch can be asked for.
+	Keep time.Duration
+}
+
+// Limits are the resources of this host.
+type Limits struct {
+	// Memory is in bytes, 0 for no limit.
+	Memory int64
 }
 
 // Host says who this host is.
@@ -56,6 +98,13 @@
 	Operators netip.AddrPort
 	// Peers serves the other hosts (UDP).
 	Peers netip.AddrPort
+	// Entry serves callers of batches, Ready the load balancer, Control
+	// operators and runners, Metrics scrapers (TCP). Each is invalid where the
+	// host does not serve it.
+	Entry   netip.AddrPort
+	Ready   netip.AddrPort
+	Control netip.AddrPort
+	Metrics netip.AddrPort
 }
 
 // TLS names the files that `carawayshift keys` writes.
@@ -119,14 +168,20 @@
 	s := defaults()
 	c.readHost(&s.Host)
 	c.readListen(&s.Listen)
-	c.readTLS(&s.TLS)
+	if _, ok := c.sections["join"]; !ok {
+		c.readTLS(&s.TLS)
+	}
 	c.readControl(&s.Control)
 	c.readRequests(&s.Requests)
 	c.readLog(&s.Log)
 	c.readZones(&s)
-	c.readPeers(&s)
-	c.checkSelf(&s)
-	c.checkVoters(&s)
+	if _, ok := c.sections["join"]; ok {
+		c.readJoin(&s)
+	} else {
+		c.readPeers(&s)
+		c.checkSelf(&s)
+		c.checkVoters(&s)
+	}
 	if len(c.faults) > 0 {
 		return Settings{}, c.sorted()
 	}
@@ -145,5 +200,8 @@
 		Requests: Requests{Body: 4 << 20, Queue: 256, Deadline: 30 * time.Second},
 		Log:      Log{Level: "info", Format: "text"},
 		Zones:    map[string]string{},
+		Join:     Join{Voters: 3},
+		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Remote: 3},
+		Batches:  Batches{Keep: 3 * time.Minute},
 	}
 }
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -27,6 +27,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/batch"
 )
 
 // Bounds of what the state keeps. They limit the size of a snapshot.
@@ -72,6 +73,9 @@
 	// used counts the accelerators that active jobs occupy on each worker.
 	// It is derived from the jobs and not part of a snapshot.
 	used map[string]int
+	// batches has its own lock, because it changes far more often than the
+	// rest and its readers need only parts of it.
+	batches *batch.Table
 }
 
 type shared struct {
@@ -84,7 +88,7 @@
 	if check == nil {
 		check = func(carawayshift.View) error { return nil }
 	}
-	m := &Machine{check: check, applied: make(chan struct{})}
+	m := &Machine{check: check, applied: make(chan struct{}), batches: batch.New()}
 	m.load(snapshot{})
 	return m
 }
@@ -117,6 +121,9 @@
 	return s
 }
 
+// Batches returns the table of batches, which changes with the state.
+func (m *Machine) Batches() *batch.Table { return m.batches }
+
 // Version returns the configuration version. Unlike State it never makes the
 // next change clone a map, so that it can be asked often.
 func (m *Machine) Version() uint64 {
--- a/internal/state/schedulerjobs.go
+++ b/internal/state/schedulerjobs.go
@@ -31,6 +31,14 @@
 	carawayshift.ParkJob:          parkJob,
 	carawayshift.SaveCheckpoint:   saveCheckpoint,
 	carawayshift.QuarantineWorker: quarantineWorker,
+	carawayshift.ChangeBatches:    changeBatches,
+}
+
+func changeBatches(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
+	if c.Batches == nil {
+		return malformed("the command carries no change of batches", "upgrade the older host")
+	}
+	return m.batches.Apply(c.At, c.Batches)
 }
 
 func placeJob(m *Machine, c *carawayshift.Command, _ *carawayshift.Answer) error {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/batch"
 )
 
 // snapshot is the encoded form of a machine. Maps are encoded with sorted
@@ -26,6 +27,7 @@
 	Bases      map[uint64]int64             `cbor:"12,keyasint"`
 	Authors    []string                     `cbor:"13,keyasint"`
 	Answers    []record                     `cbor:"14,keyasint"`
+	Batches    batch.Snapshot               `cbor:"15,keyasint"`
 }
 
 // Snapshot writes the whole state; equal states give equal bytes.
@@ -47,7 +49,7 @@
 		Quarantine: m.s.Quarantine, Config: m.s.Config,
 		LastJob: m.lastJob, LastNote: m.lastNote,
 		Ended: m.ended, Bases: m.bases, Authors: m.authors,
-		Answers: m.answers.list(),
+		Answers: m.answers.list(), Batches: m.batches.Snapshot(),
 	})
 }
 
@@ -79,6 +81,7 @@
 	m.shared = shared{}
 	m.lastJob, m.lastNote = s.LastJob, s.LastNote
 	m.ended, m.bases, m.authors = s.Ended, s.Bases, s.Authors
+	m.batches.Restore(s.Batches)
 	m.fillMaps()
 	m.answers = answers{byID: make(map[string]record, len(s.Answers))}
 	for _, r := range s.Answers {
--- /dev/null
+++ b/internal/station/control.go
@@ -0,0 +1,100 @@
+package station
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift/internal/dispatcher"
+	"carawayshift.example/carawayshift/internal/governor"
+	"carawayshift.example/carawayshift/internal/group"
+	"carawayshift.example/carawayshift/internal/leadership"
+	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/pkg/dispatch"
+	"carawayshift.example/carawayshift/pkg/journal"
+	"carawayshift.example/carawayshift/pkg/placement"
+	"carawayshift.example/carawayshift/pkg/replica"
+	"carawayshift.example/carawayshift/platform"
+)
+
+// voterPatience is how long a voter may be silent before a host that has
+// caught up takes its place; a planned restart takes less.
+const voterPatience = 4 * time.Second
+
+// control is what a control host has beyond an entry host.
+type control struct {
+	station    *Station
+	journal    *journal.Journal
+	replica    *replica.Replica
+	machine    *state.Machine
+	group      *group.Group
+	dispatcher *dispatcher.Dispatcher
+}
+
+func newControl(s *Station) (*control, error) {
+	cfg := s.opts.Settings
+	j, err := journal.Open(cfg.Control.Data)
+	if err != nil {
+		return nil, errors.Wrap(err, "station.newControl")
+	}
+	c := &control{station: s, journal: j, machine: state.New(placement.New().CheckGuarantees)}
+	var voters []string
+	if cfg.Join.First {
+		voters = s.seedNames()
+	}
+	c.replica, err = replica.New(replica.Config{Host: s.name, Voters: voters, Logger: s.opts.Log}, j, c.machine, s.mesh)
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "station.newControl"), j.Close())
+	}
+	c.group = group.New(group.Config{
+		Host: s.name, Replica: c.replica, Transport: s.mesh, Known: s.relay.Known,
+		Wanted: cfg.Join.Voters, Patience: voterPatience, Logger: s.opts.Log,
+	})
+	lead := leadership.New(s.name, c.replica)
+	c.dispatcher = dispatcher.New(dispatcher.Config{
+		Host: s.name, Log: c.replica, Term: lead.Term, Table: c.machine.Batches(), Closed: c.closedZones,
+		Planner: dispatch.New(dispatch.Config{Remote: cfg.Runners.Remote}), Client: platform.NewClient(),
+		Timing: dispatcher.Timing{
+			Lease: cfg.Runners.Lease, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop, Keep: cfg.Batches.Keep,
+		},
+		Logger: s.opts.Log, Metrics: s.metrics,
+	})
+	s.relay.Serve(governor.New(governor.Config{
+		Log: c.replica, Term: lead.Term, Table: c.machine.Batches(), State: c.machine.State,
+		Runners: c.dispatcher, Zones: cfg.Zones, Logger: s.opts.Log,
+	}), c.group)
+	return c, nil
+}
+
+func (c *control) closedZones() map[string]bool {
+	closed := map[string]bool{}
+	for name, z := range c.machine.State().Zones {
+		if z.Out {
+			closed[name] = true
+		}
+	}
+	return closed
+}
+
+func (c *control) start(ctx context.Context, wg *sync.WaitGroup) {
+	c.station.part(ctx, wg, func(ctx context.Context) error {
+		err := c.replica.Run(ctx)
+		return errors.CombineErrors(err, c.journal.Close())
+	})
+	c.station.part(ctx, wg, c.group.Run)
+	c.station.part(ctx, wg, c.dispatcher.Run)
+}
+
+// handOver passes the leadership on before a graceful stop.
+func (c *control) handOver(ctx context.Context) {
+	if leader, _ := c.replica.Leader(); leader != c.station.name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := c.replica.Transfer(ctx, ""); err != nil {
+		c.station.opts.Log.WithError(err).Warn("leadership not handed over, an election follows")
+	}
+}
--- /dev/null
+++ b/pkg/batch/routes.go
@@ -0,0 +1,60 @@
+package batch
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+
+	"carawayshift.example/carawayshift"
+)
+
+// routes finds the queue of a host and path, and the team of a key.
+type routes struct {
+	// queues lists the queues of each host, longest prefix first.
+	queues map[string][]carawayshift.Queue
+	teams  map[string]string
+}
+
+func newRoutes(c carawayshift.Catalog) routes {
+	r := routes{queues: map[string][]carawayshift.Queue{}, teams: map[string]string{}}
+	for _, q := range c.Queues {
+		host := strings.ToLower(q.Host)
+		r.queues[host] = append(r.queues[host], q)
+	}
+	for _, list := range r.queues {
+		slices.SortStableFunc(list, func(a, b carawayshift.Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, m := range c.Members {
+		for _, k := range m.Keys {
+			r.teams[k] = m.Team
+		}
+	}
+	return r
+}
+
+// Resolve returns the queue that an address names, the rest of the path behind
+// the queue's prefix, and the team of the key. Errors: Unavailable before the
+// first catalog, NotFound, Unauthorized.
+func (t *Table) Resolve(a carawayshift.Address) (q carawayshift.Queue, rest, team string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.catalog.Number == 0 {
+		return q, "", "", carawayshift.NewError(carawayshift.Unavailable, "no configuration is in force yet", "try again in a second")
+	}
+	host := strings.ToLower(a.Host)
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	list := t.routes.queues[host]
+	i := slices.IndexFunc(list, func(q carawayshift.Queue) bool { return strings.HasPrefix(a.Path, q.Prefix) })
+	if i < 0 {
+		return q, "", "", carawayshift.NewError(carawayshift.NotFound, "no queue takes "+a.Path+" on "+host, "check the host and the path")
+	}
+	q = list[i]
+	team, ok := t.routes.teams[a.Key]
+	if !ok && !q.Public {
+		return q, "", "", carawayshift.NewError(carawayshift.Unauthorized, "the key belongs to no team", "send a key of the team")
+	}
+	return q, a.Path[len(q.Prefix):], team, nil
+}
--- /dev/null
+++ b/pkg/batch/runs.go
@@ -0,0 +1,100 @@
+package batch
+
+import (
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+// start opens a run of a task. It is passed over when the batch has ended, a
+// run is open, or the number is not above the last one.
+func (t *Table) start(at time.Time, s carawayshift.RunStart) {
+	b, k := t.batches[s.Task.Batch], t.task(s.Task)
+	if k == nil || b.State.Ended() || k.Open || k.Finished || s.Run <= k.Run {
+		return
+	}
+	k.Run, k.Runner, k.Life, k.Open, k.Ordered = s.Run, s.Runner, s.Life, true, at
+	b.State = carawayshift.BatchRunning
+}
+
+// Accepted tells whether a run is open, after the change that ordered it.
+func (t *Table) Accepted(s carawayshift.RunStart) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.task(s.Task)
+	return k != nil && k.Open && k.Run == s.Run && k.Runner == s.Runner
+}
+
+// end records the end of a run, once.
+func (t *Table) end(at time.Time, e carawayshift.RunEnd) {
+	k := t.task(e.Task)
+	if k == nil || !k.Open || k.Run != e.Run {
+		return
+	}
+	b, step := t.batches[e.Task.Batch], t.step(e.Task)
+	need := b.Steps[e.Task.Step]
+	k.Open = false
+	if e.Checkpoint != "" {
+		k.Checkpoint = e.Checkpoint
+	}
+	switch {
+	case need.Lasting:
+	case e.Ending == carawayshift.RunFinished:
+		finishTask(step, k, need)
+	case e.Ending == carawayshift.RunFailed:
+		t.fail(at, b, step, k, need)
+	}
+	if !b.State.Ended() && complete(b) {
+		t.finish(b, carawayshift.BatchFinished, at)
+		return
+	}
+	t.settle(b)
+}
+
+// finishTask marks a task as finished, and with it all members of its gang.
+func finishTask(step *carawayshift.StepRun, k *carawayshift.Task, need carawayshift.Step) {
+	if !need.Gang {
+		k.Finished = true
+		step.Finished++
+		return
+	}
+	for i := range step.Tasks {
+		step.Tasks[i].Finished = true
+	}
+	step.Finished = len(step.Tasks)
+}
+
+// fail counts a failed run; a run of a gang counts once for all its members.
+func (t *Table) fail(at time.Time, b *carawayshift.Batch, step *carawayshift.StepRun, k *carawayshift.Task, need carawayshift.Step) {
+	if k.Finished {
+		return
+	}
+	failed := 0
+	switch {
+	case !need.Gang:
+		k.Failed++
+		failed = k.Failed
+	case step.FailedRun < k.Run:
+		step.FailedRun = k.Run
+		step.Failed++
+		failed = step.Failed
+	}
+	if b.Queue.Attempts > 0 && failed >= b.Queue.Attempts && !b.State.Ended() {
+		t.finish(b, carawayshift.BatchFailed, at)
+	}
+}
+
+// complete tells whether every task of every occurrence has finished.
+func complete(b *carawayshift.Batch) bool {
+	if len(b.Occurrences) < max(b.Repeat, 1) {
+		return false
+	}
+	for _, o := range b.Occurrences {
+		for _, s := range o.Steps {
+			if s.Finished < len(s.Tasks) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/batch/survey.go
@@ -0,0 +1,158 @@
+package batch
+
+import (
+	"time"
+
+	"carawayshift.example/carawayshift"
+)
+
+// Survey returns the waiting tasks in the order of acceptance, and all open
+// runs.
+func (t *Table) Survey() (demands []carawayshift.Demand, holdings []carawayshift.Holding) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range t.order {
+		if !t.active[id] {
+			continue
+		}
+		b := t.batches[id]
+		for n := range b.Occurrences {
+			holdings = appendHoldings(holdings, b, n)
+			if !b.State.Ended() {
+				demands = appendDemands(demands, b, n)
+			}
+		}
+	}
+	return demands, holdings
+}
+
+// DueBy returns the occurrences that begin at a time or before, and when the
+// next one does; zero if there is none.
+func (t *Table) DueBy(now time.Time) (due []carawayshift.Due, next time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.active {
+		b := t.batches[id]
+		if b.State.Ended() {
+			continue
+		}
+		for n := len(b.Occurrences); n < b.Repeat; n++ {
+			at := b.First.Add(time.Duration(n) * b.Interval)
+			if !at.After(now) {
+				due = append(due, carawayshift.Due{Batch: id, Occurrence: n})
+				continue
+			}
+			if next.IsZero() || at.Before(next) {
+				next = at
+			}
+			break
+		}
+	}
+	return due, next
+}
+
+func appendHoldings(list []carawayshift.Holding, b *carawayshift.Batch, occurrence int) []carawayshift.Holding {
+	for s, step := range b.Occurrences[occurrence].Steps {
+		for i, k := range step.Tasks {
+			if !k.Open {
+				continue
+			}
+			list = append(list, carawayshift.Holding{
+				Task: carawayshift.TaskName{Batch: b.ID, Occurrence: occurrence, Step: s, Index: i},
+				Run:  k.Run, Runner: k.Runner, Life: k.Life, Team: b.Team, Priority: b.Queue.Priority,
+				Need: b.Steps[s], Ordered: k.Ordered, Checkpoint: k.Checkpoint,
+				Unwanted: b.State.Ended() || k.Finished,
+			})
+		}
+	}
+	return list
+}
+
+func appendDemands(list []carawayshift.Demand, b *carawayshift.Batch, occurrence int) []carawayshift.Demand {
+	o := b.Occurrences[occurrence]
+	for s, need := range b.Steps {
+		step := o.Steps[s]
+		if step.Finished == len(step.Tasks) || !ready(o, need) {
+			continue
+		}
+		if need.Gang && anyOpen(step) {
+			continue
+		}
+		d := demand(b, occurrence, s)
+		for i, k := range step.Tasks {
+			switch {
+			case k.Open:
+				d.Present[k.Runner]++
+			case !k.Finished:
+				d.Indexes = append(d.Indexes, i)
+				d.Runs = append(d.Runs, k.Run+1)
+			}
+		}
+		if len(d.Indexes) == 0 {
+			continue
+		}
+		if need.Gang {
+			alignRuns(d.Runs)
+		}
+		list = append(list, d)
+	}
+	return list
+}
+
+func demand(b *carawayshift.Batch, occurrence, step int) carawayshift.Demand {
+	start := b.Accepted
+	if b.Repeat > 0 {
+		start = b.First.Add(time.Duration(occurrence) * b.Interval)
+	}
+	return carawayshift.Demand{
+		Batch: b.ID, Occurrence: occurrence, Step: step, Team: b.Team, Queue: b.Queue, Need: b.Steps[step],
+		Accepted: start, Due: start.Add(objective(b)), First: step == 0, Present: map[string]int{},
+	}
+}
+
+// ready tells whether all steps that a step waits for have finished.
+func ready(o carawayshift.Occurrence, need carawayshift.Step) bool {
+	for _, a := range need.After {
+		if a < 0 || a >= len(o.Steps) || o.Steps[a].Finished < len(o.Steps[a].Tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+func anyOpen(s carawayshift.StepRun) bool {
+	for _, k := range s.Tasks {
+		if k.Open {
+			return true
+		}
+	}
+	return false
+}
+
+// alignRuns gives all members of a gang the highest number.
+func alignRuns(runs []int) {
+	highest := 0
+	for _, n := range runs {
+		highest = max(highest, n)
+	}
+	for i := range runs {
+		runs[i] = highest
+	}
+}
+
+// objective is the time in which the batch should end, by the declared run
+// times along its longest chain of steps.
+func objective(b *carawayshift.Batch) time.Duration {
+	ends := make([]time.Duration, len(b.Steps))
+	longest := time.Duration(0)
+	for i, s := range b.Steps {
+		for _, a := range s.After {
+			if a >= 0 && a < i {
+				ends[i] = max(ends[i], ends[a])
+			}
+		}
+		ends[i] += s.Declared
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(b.Queue.Stretch*float64(longest)) + b.Queue.Latency
+}
--- /dev/null
+++ b/pkg/repair/repair.go
@@ -0,0 +1,140 @@
+// Package repair decides how the membership of a replicated group changes when
+// hosts lose their disks, are lost for good or join.
+//
+// # Usage
+//
+//	a, ok := repair.Next(repair.View{Members: members, Joiners: joiners, Wanted: 3, Patience: 5*time.Second})
+//
+// One change is decided at a time. The replicated log refuses a removal that
+// would leave no healthy majority, and the promotion of a learner that has not
+// caught up; this package chooses what to try.
+package repair
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Op is a change of the membership.
+type Op string
+
+// Changes of the membership.
+const (
+	Add     Op = "add"
+	Promote Op = "promote"
+	Remove  Op = "remove"
+)
+
+// Action is one change.
+type Action struct {
+	Op   Op
+	Host string
+	Why  string
+}
+
+// Member is a member of the group as the leader sees it.
+type Member struct {
+	Host     string
+	Identity uint64
+	Voter    bool
+	// Silent is the time since the member last answered.
+	Silent time.Duration
+	// Current says that it holds every committed entry on its disk.
+	Current bool
+	Self    bool
+}
+
+// Joiner is a host that asks to be added.
+type Joiner struct {
+	Host     string
+	Identity uint64
+}
+
+// View is the input of a decision.
+type View struct {
+	Members []Member
+	Joiners []Joiner
+	// Wanted is the number of voters to keep.
+	Wanted int
+	// Patience is how long a voter may be silent before another host takes
+	// its place: a restart or a cut that heals must not cost a voter its seat.
+	Patience time.Duration
+}
+
+// maxLearners bounds the hosts that get the log without a vote.
+const maxLearners = 3
+
+// Next returns the next change, if one is due.
+func Next(v View) (Action, bool) {
+	for _, step := range []func(View) (Action, bool){replaceDisk, promote, removeSilent, add} {
+		if a, ok := step(v); ok {
+			return a, true
+		}
+	}
+	return Action{}, false
+}
+
+// replaceDisk removes a member whose host asks to join with another disk: the
+// disk that the member stands for is gone.
+func replaceDisk(v View) (Action, bool) {
+	for _, m := range v.Members {
+		i := slices.IndexFunc(v.Joiners, func(j Joiner) bool { return j.Host == m.Host })
+		if i >= 0 && v.Joiners[i].Identity != m.Identity && !m.Self {
+			return Action{Remove, m.Host, "its host has another disk"}, true
+		}
+	}
+	return Action{}, false
+}
+
+// promote gives a learner that has caught up a vote when one is missing, or
+// when a voter has been silent for too long.
+func promote(v View) (Action, bool) {
+	voters := v.voters()
+	if len(voters) >= v.Wanted && len(v.silent()) == 0 {
+		return Action{}, false
+	}
+	if len(voters) > v.Wanted {
+		return Action{}, false
+	}
+	for _, m := range v.Members {
+		if !m.Voter && m.Current && m.Silent < v.Patience {
+			return Action{Promote, m.Host, "a voter is missing"}, true
+		}
+	}
+	return Action{}, false
+}
+
+// removeSilent takes the vote of a silent voter once there are more voters
+// than wanted.
+func removeSilent(v View) (Action, bool) {
+	silent := v.silent()
+	if len(v.voters()) <= v.Wanted || len(silent) == 0 {
+		return Action{}, false
+	}
+	longest := slices.MaxFunc(silent, func(a, b Member) int { return cmp.Compare(a.Silent, b.Silent) })
+	return Action{Remove, longest.Host, "it has been silent and another voter has its place"}, true
+}
+
+// add makes a host that asks a learner.
+func add(v View) (Action, bool) {
+	learners := len(v.Members) - len(v.voters())
+	if learners >= maxLearners {
+		return Action{}, false
+	}
+	for _, j := range v.Joiners {
+		if !slices.ContainsFunc(v.Members, func(m Member) bool { return m.Host == j.Host }) {
+			return Action{Add, j.Host, "it asks to join"}, true
+		}
+	}
+	return Action{}, false
+}
+
+func (v View) voters() []Member {
+	return slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return !m.Voter })
+}
+
+// silent returns the voters that have been silent for longer than the patience.
+func (v View) silent() []Member {
+	return slices.DeleteFunc(v.voters(), func(m Member) bool { return m.Self || m.Silent <= v.Patience })
+}
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +27,9 @@
 	// Match is the last index known to be on the disk of each member. Only
 	// the leader has it.
 	Match map[string]uint64 `json:"match,omitempty"`
+	// Silent is the time since each other member answered a call of the
+	// leader. Only the leader has it.
+	Silent map[string]time.Duration `json:"silent,omitempty"`
 	// RefusedMembers are members whose data folder is older than what they
 	// had acknowledged, or not the one of their membership entry.
 	RefusedMembers []string `json:"refused_members,omitempty"`
@@ -49,8 +53,10 @@
 	}
 	s.Ready = r.lead.ready(r.commit)
 	s.Match = map[string]uint64{r.cfg.Host: last}
+	s.Silent = map[string]time.Duration{}
 	for host, p := range r.lead.peers {
 		s.Match[host] = p.match
+		s.Silent[host] = time.Since(p.contact)
 		if p.refused {
 			s.RefusedMembers = append(s.RefusedMembers, host)
 		}
