governor: wait for the copy before a read that another host proved

The leadership moved between the check and the barrier; the barrier was then proved by the next leader, and the read came from this host's older copy.

Ruled out: a lost commit; the new leader held version 5 all the time.

Change: reads of the catalog and orders on zones wait until the index of the barrier has been applied here. TestReadOfCatalogWaitsForCopy fails without it.

--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -28,7 +28,9 @@
 
 // Config configures a Governor.
 type Config struct {
-	Log     carawayshift.Log
+	Log carawayshift.Log
+	// Wait returns when this host has applied the entry at an index.
+	Wait    func(ctx context.Context, index uint64) error
 	Term    func() (term uint64, ok bool, changed <-chan struct{})
 	Table   *batch.Table
 	State   func() carawayshift.State
@@ -64,6 +66,20 @@
 	return nil
 }
 
+// fresh returns once this host's copy includes everything that was confirmed
+// before the call. The barrier alone is not enough: when the leadership has
+// just moved, another host proves it, and this copy may be older.
+func (g *Governor) fresh(ctx context.Context) error {
+	index, err := g.cfg.Log.Barrier(ctx)
+	if err != nil {
+		return err
+	}
+	if err := g.cfg.Wait(ctx, index); err != nil {
+		return carawayshift.NewError(carawayshift.NotRun, "this host's copy of the state is behind: "+err.Error(), "ask again")
+	}
+	return nil
+}
+
 func (g *Governor) propose(ctx context.Context, c carawayshift.Command) error {
 	c.At = time.Now().UTC()
 	a, err := g.cfg.Log.Propose(ctx, c)
@@ -164,8 +180,7 @@
 	}
 	if c.Number <= g.cfg.Table.Catalog().Number {
 		// The one in force must not be lost with this leader.
-		_, err := g.cfg.Log.Barrier(ctx)
-		return err
+		return g.fresh(ctx)
 	}
 	if err := g.change(ctx, &carawayshift.BatchChange{Catalog: &c}); err != nil {
 		return err
@@ -179,7 +194,7 @@
 	if err := g.lead(); err != nil {
 		return nil, err
 	}
-	if _, err := g.cfg.Log.Barrier(ctx); err != nil {
+	if err := g.fresh(ctx); err != nil {
 		return nil, err
 	}
 	source := g.cfg.Table.Catalog().Source
@@ -198,6 +213,9 @@
 	if !known {
 		return carawayshift.NewError(carawayshift.NotFound, "no zone "+zone, "check the name")
 	}
+	if err := g.fresh(ctx); err != nil {
+		return err
+	}
 	z := carawayshift.Zone{Name: zone, Region: region}
 	present, ok := g.cfg.State().Zones[zone]
 	if !ok {
@@ -206,7 +224,7 @@
 		}
 	}
 	if present.Out == out {
-		return g.confirmZone(ctx)
+		return nil
 	}
 	kind := carawayshift.ReturnZone
 	if out {
@@ -217,12 +235,6 @@
 	return err
 }
 
-// confirmZone makes sure that the present state can't be lost.
-func (g *Governor) confirmZone(ctx context.Context) error {
-	_, err := g.cfg.Log.Barrier(ctx)
-	return err
-}
-
 // zoneCommand proposes a command of the operators' language. A refusal says
 // that another order came first.
 func (g *Governor) zoneCommand(ctx context.Context, kind carawayshift.CommandKind, z carawayshift.Zone) error {
--- /dev/null
+++ b/internal/governor/governor_test.go
@@ -0,0 +1,162 @@
+package governor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/state"
+)
+
+// group is a log whose newer leader has entries that this host's copy does not
+// hold yet. They arrive when the copy waits for them.
+type group struct {
+	machine *state.Machine
+	index   uint64
+	pending []carawayshift.Command
+}
+
+func (g *group) Propose(_ context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
+	g.index++
+	b, err := carawayshift.Encode(c)
+	if err != nil {
+		return carawayshift.Answer{}, err
+	}
+	var a carawayshift.Answer
+	err = carawayshift.Decode(g.machine.Apply(g.index, b), &a)
+	return a, err
+}
+
+func (g *group) Barrier(context.Context) (uint64, error) {
+	return g.index + uint64(len(g.pending)), nil
+}
+
+func (g *group) Leader() (string, uint64) { return "c1", 1 }
+
+func (g *group) wait(ctx context.Context, _ uint64) error {
+	for _, c := range g.pending {
+		if _, err := g.Propose(ctx, c); err != nil {
+			return err
+		}
+	}
+	g.pending = nil
+	return nil
+}
+
+type noRunners struct{}
+
+func (noRunners) Report(carawayshift.Agent) error { return nil }
+func (noRunners) Leave(string) error              { return nil }
+func (noRunners) Wake()                           {}
+
+func rig() (*Governor, *group) {
+	log := &group{machine: state.New(nil)}
+	changed := make(chan struct{})
+	return New(Config{
+		Log: log, Wait: log.wait, Table: log.machine.Batches(), State: log.machine.State, Runners: noRunners{},
+		Term:  func() (uint64, bool, <-chan struct{}) { return 1, true, changed },
+		Zones: map[string]string{"belmont": "north"},
+	}), log
+}
+
+func catalog(number uint64) carawayshift.Catalog {
+	return carawayshift.Catalog{
+		Number: number, Source: []byte{byte(number)},
+		Services: []carawayshift.Service{{Name: "fitting"}},
+		Queues:   []carawayshift.Queue{{Name: "q", Host: "shop.example", Prefix: "/fit/", Service: "fitting", Timeout: time.Second}},
+		Members:  []carawayshift.Membership{{Team: "carnival", Keys: []string{"k"}}},
+	}
+}
+
+func replaced(number uint64) carawayshift.Command {
+	c := catalog(number)
+	return carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{Catalog: &c}}
+}
+
+// A host that led until a moment ago must not show its copy of the catalog
+// when the barrier was proved by the next leader.
+func TestReadOfCatalogWaitsForCopy(t *testing.T) {
+	o := NewWithT(t)
+	g, log := rig()
+	ctx := context.Background()
+	o.Expect(g.Replace(ctx, catalog(2))).To(Succeed())
+	log.pending = []carawayshift.Command{replaced(5)}
+	source, err := g.Catalog(ctx)
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(source).To(Equal([]byte{5}))
+}
+
+func TestOlderCatalogIsAcknowledgedAndChangesNothing(t *testing.T) {
+	o := NewWithT(t)
+	g, _ := rig()
+	ctx := context.Background()
+	for _, number := range []uint64{4, 4, 3} {
+		o.Expect(g.Replace(ctx, catalog(number))).To(Succeed())
+	}
+	source, err := g.Catalog(ctx)
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(source).To(Equal([]byte{4}))
+}
+
+func TestZoneOrders(t *testing.T) {
+	o := NewWithT(t)
+	g, log := rig()
+	ctx := context.Background()
+	steps := []struct {
+		zone string
+		out  bool
+		kind carawayshift.Kind
+	}{
+		{"belmont", true, ""},
+		{"belmont", true, ""},
+		{"belmont", false, ""},
+		{"belmont", false, ""},
+		{"nowhere", true, carawayshift.NotFound},
+	}
+	for _, s := range steps {
+		err := g.SetZone(ctx, s.zone, s.out)
+		o.Expect(carawayshift.KindOf(err)).To(Equal(s.kind))
+		if s.kind == "" {
+			o.Expect(log.machine.State().Zones[s.zone].Out).To(Equal(s.out))
+		}
+	}
+}
+
+func TestCallers(t *testing.T) {
+	o := NewWithT(t)
+	g, _ := rig()
+	ctx := context.Background()
+	at := carawayshift.Address{Host: "shop.example:80", Path: "/fit/0123456789abcdef", Key: "k"}
+	b := carawayshift.Batch{ID: "0123456789abcdef", Steps: []carawayshift.Step{{Count: 1}}}
+	o.Expect(carawayshift.KindOf(g.Submit(ctx, at, b))).To(Equal(carawayshift.Unavailable), "no catalog yet")
+	o.Expect(g.Replace(ctx, catalog(1))).To(Succeed())
+
+	steps := []struct {
+		name string
+		at   carawayshift.Address
+		kind carawayshift.Kind
+	}{
+		{"unknown queue", carawayshift.Address{Host: "shop.example", Path: "/other/0123456789abcdef", Key: "k"}, carawayshift.NotFound},
+		{"unknown key", carawayshift.Address{Host: "shop.example", Path: at.Path, Key: "x"}, carawayshift.Unauthorized},
+		{"accepted", at, ""},
+		{"resent", at, ""},
+	}
+	for _, s := range steps {
+		o.Expect(carawayshift.KindOf(g.Submit(ctx, s.at, b))).To(Equal(s.kind), s.name)
+	}
+	n, err := g.Waiting(ctx, carawayshift.Address{Host: "shop.example", Path: "/fit/", Key: "k"})
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(n).To(Equal(1))
+	state, err := g.State(ctx, at)
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(state).To(Equal(carawayshift.BatchQueued))
+	o.Expect(g.Cancel(ctx, at)).To(Succeed())
+	state, err = g.State(ctx, at)
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(state).To(Equal(carawayshift.BatchCancelled))
+	unknown := carawayshift.Address{Host: "shop.example", Path: "/fit/ffffffffffffffff", Key: "k"}
+	o.Expect(carawayshift.KindOf(g.Cancel(ctx, unknown))).To(Equal(carawayshift.Gone))
+}
--- a/internal/station/control.go
+++ b/internal/station/control.go
@@ -62,7 +62,7 @@
 		Logger: s.opts.Log, Metrics: s.metrics,
 	})
 	s.relay.Serve(governor.New(governor.Config{
-		Log: c.replica, Term: lead.Term, Table: c.machine.Batches(), State: c.machine.State,
+		Log: c.replica, Wait: c.replica.WaitApplied, Term: lead.Term, Table: c.machine.Batches(), State: c.machine.State,
 		Runners: c.dispatcher, Zones: cfg.Zones, Logger: s.opts.Log,
 	}), c.group)
 	return c, nil
