dispatch: reserve room by expected ends, bound the loss of preemption

Change: a demand that finds no room reserves the runner that is expected to have room first, and others use it until then. Expected ends come from what tasks of the same queue took (pkg/estimate). A demand of priority 0 preempts only when waiting would make it late, and beyond its team's guarantee only where the loss is below its own work. Loss counts core-seconds.

--- a/demand.go
+++ b/demand.go
@@ -20,6 +20,8 @@
 	// First says that no task of the batch's first step has been ordered, or
 	// that some of them still wait.
 	First bool
+	// Expected is how long a task of the step probably runs.
+	Expected time.Duration
 	// Present counts the open runs of the step on each runner.
 	Present map[string]int
 }
@@ -38,8 +40,11 @@
 	Team       string
 	Priority   int
 	Need       Step
+	Queue      string
 	Ordered    time.Time
 	Checkpoint string
+	// Expected is how long the run probably takes from Ordered on.
+	Expected time.Duration
 	// Unwanted runs belong to a batch that has ended.
 	Unwanted bool
 	// Stopping runs have been told to stop.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/pkg/batch"
+	"carawayshift.example/carawayshift/pkg/estimate"
 )
 
 // Timing are the durations that the runners' platform dictates.
@@ -76,6 +77,8 @@
 type Dispatcher struct {
 	cfg  Config
 	wake chan struct{}
+	// took outlives tenures: it is true of the work, whoever leads.
+	took *estimate.Record
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -89,7 +92,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	return &Dispatcher{cfg: cfg, wake: make(chan struct{}, 1)}
+	return &Dispatcher{cfg: cfg, wake: make(chan struct{}, 1), took: estimate.New()}
 }
 
 // Wake makes the next plan at once.
--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -120,6 +120,7 @@
 		number := e.Number
 		if r := s.runs[e.Task]; r != nil && r.run == e.Run {
 			r.ended = true
+			s.observe(e, r)
 		}
 		s.t.queueEnd(e.RunEnd, func() { s.noteRecorded(e.RunEnd, number, done) })
 	}
@@ -129,6 +130,13 @@
 	return last
 }
 
+// observe learns the run time of a task that ran from its start to its end.
+func (s *session) observe(e carawayshift.EndReport, r *run) {
+	if e.Ending == carawayshift.RunFinished && !r.resumed && !r.ordered.IsZero() {
+		s.t.d.took.Observe(s.t.d.cfg.Table.QueueOf(e.Task.Batch), time.Since(r.ordered))
+	}
+}
+
 func (s *session) noteRecorded(e carawayshift.RunEnd, number uint64, done chan struct{}) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -58,6 +58,8 @@
 	ended    bool
 	stopping bool
 	ordered  time.Time
+	// resumed runs began from a checkpoint.
+	resumed bool
 }
 
 func newSession(t *tenure, a carawayshift.Agent) *session {
@@ -133,7 +135,7 @@
 
 // adopt takes over a run of an earlier tenure. It needs t.mu.
 func (s *session) adopt(h carawayshift.Holding) {
-	s.runs[h.Task] = &run{run: h.Run, checkpoint: h.Checkpoint, ordered: h.Ordered}
+	s.runs[h.Task] = &run{run: h.Run, checkpoint: h.Checkpoint, ordered: h.Ordered, resumed: h.Checkpoint != ""}
 	s.t.spawn(func() { s.confirm(h.Task, h.Run) })
 	s.poke()
 }
@@ -172,7 +174,8 @@
 
 // begin sends the order to start a run. It needs t.mu.
 func (s *session) begin(st carawayshift.RunStart) {
-	s.runs[st.Task] = &run{run: st.Run, checkpoint: s.t.d.cfg.Table.Checkpoint(st.Task), ordered: time.Now()}
+	checkpoint := s.t.d.cfg.Table.Checkpoint(st.Task)
+	s.runs[st.Task] = &run{run: st.Run, checkpoint: checkpoint, ordered: time.Now(), resumed: checkpoint != ""}
 	s.t.spawn(func() { s.start(st) })
 }
 
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -111,6 +111,9 @@
 // load is the planner's view: runners with fresh reports, and the open runs.
 func (t *tenure) load(now time.Time) carawayshift.Load {
 	demands, holdings := t.d.cfg.Table.Survey()
+	for i := range demands {
+		demands[i].Expected = t.d.took.Expect(demands[i].Queue.Name, demands[i].Need.Declared)
+	}
 	l := carawayshift.Load{Now: now, Demands: demands, Guarantees: map[string]int{}, Closed: t.d.cfg.Closed()}
 	for _, m := range t.d.cfg.Table.Catalog().Members {
 		l.Guarantees[m.Team] = m.Guarantee
@@ -123,6 +126,7 @@
 		}
 	}
 	for _, h := range holdings {
+		h.Expected = t.d.took.Expect(h.Queue, h.Need.Declared)
 		h.Stopping = t.stopping[h.Task] == h.Run
 		if h.Unwanted && !h.Stopping {
 			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its batch has ended")
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -25,6 +25,7 @@
 	c.duration("runners", "lease", &s.Runners.Lease)
 	c.duration("runners", "heartbeat", &s.Runners.Heartbeat)
 	c.duration("runners", "stop", &s.Runners.Stop)
+	c.duration("runners", "reclaim", &s.Runners.Reclaim)
 	c.factor("runners", "remote", &s.Runners.Remote)
 	c.duration("batches", "keep", &s.Batches.Keep)
 	if e, ok := c.find("limits", "memory"); ok {
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -62,7 +62,7 @@
 	"zones":    nil,
 	"peers":    nil,
 	"join":     {"seeds", "first", "voters"},
-	"runners":  {"lease", "heartbeat", "stop", "remote"},
+	"runners":  {"lease", "heartbeat", "stop", "remote", "reclaim"},
 	"batches":  {"keep"},
 	"limits":   {"memory"},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,8 @@
 	Heartbeat time.Duration
 	// Stop is the longest time that a stop takes.
 	Stop time.Duration
+	// Reclaim is the time in which a team gets its guarantee back.
+	Reclaim time.Duration
 	// Remote is how many times longer tasks take away from their data.
 	Remote float64
 }
@@ -201,7 +203,7 @@
 		Log:      Log{Level: "info", Format: "text"},
 		Zones:    map[string]string{},
 		Join:     Join{Voters: 3},
-		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Remote: 3},
+		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, Remote: 3},
 		Batches:  Batches{Keep: 3 * time.Minute},
 	}
 }
--- a/internal/station/control.go
+++ b/internal/station/control.go
@@ -55,7 +55,9 @@
 	lead := leadership.New(s.name, c.replica)
 	c.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: s.name, Log: c.replica, Term: lead.Term, Table: c.machine.Batches(), Closed: c.closedZones,
-		Planner: dispatch.New(dispatch.Config{Remote: cfg.Runners.Remote}), Client: platform.NewClient(),
+		Planner: dispatch.New(dispatch.Config{
+			Remote: cfg.Runners.Remote, Reclaim: cfg.Runners.Reclaim, Stop: cfg.Runners.Stop,
+		}), Client: platform.NewClient(),
 		Timing: dispatcher.Timing{
 			Lease: cfg.Runners.Lease, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop, Keep: cfg.Batches.Keep,
 		},
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -248,6 +248,16 @@
 	return ""
 }
 
+// QueueOf returns the name of a batch's queue, or "".
+func (t *Table) QueueOf(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.batches[id]; b != nil {
+		return b.Queue.Name
+	}
+	return ""
+}
+
 // Checkpoint returns the newest checkpoint of a task.
 func (t *Table) Checkpoint(n carawayshift.TaskName) string {
 	t.mu.Lock()
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -10,8 +10,10 @@
 // Demands are served by priority, and within a priority by the time at which
 // they miss their objective; those that have missed it step behind the others.
 // A task goes to the runner that it fills best, so that wide tasks keep whole
-// runners. Demands of priority 0 that find no room preempt the runs of other
-// priorities that lose the least work.
+// runners. A demand that finds no room reserves the runner that is expected to
+// have some first; others may use it until then. Demands of priority 0 preempt
+// runs when waiting would make them late and little work is lost, and always
+// when their team is within its guarantee.
 package dispatch
 
 import (
@@ -28,13 +30,28 @@
 	// Remote is how much longer tasks take away from their data or on more
 	// than one rack. Default 3.
 	Remote float64
-	// MaxPreempted bounds the runs that one demand preempts. Default 64.
-	MaxPreempted int
+	// Reclaim is the time in which a team's batches of priority 0 begin, as
+	// long as they need no more than its guarantee. Default 2.9 s.
+	Reclaim time.Duration
+	// Stop is the longest time that a preempted run takes to end. Default 1 s.
+	Stop time.Duration
+	// MaxLoss is the work that preemption may throw away for a demand beyond
+	// its team's guarantee, as a multiple of the demand's own work. Default 1.
+	MaxLoss float64
 }
 
 const (
-	defaultRemote       = 3
-	defaultMaxPreempted = 64
+	defaultRemote  = 3
+	defaultReclaim = 2900 * time.Millisecond
+	defaultStop    = time.Second
+	defaultMaxLoss = 1
+	// acceleratorCores is the work of an accelerator in that of cores.
+	acceleratorCores = 8
+	// slackShare is the part of a demand's slack for which it waits for room
+	// before it preempts. The rest covers the stop and wrong expectations.
+	slackShare = 0.5
+	// reclaimReserve is kept of Reclaim for the commit and the start.
+	reclaimReserve = 700 * time.Millisecond
 )
 
 // Dispatcher implements carawayshift.Dispatcher.
@@ -49,18 +66,23 @@
 	if cfg.Remote == 0 {
 		cfg.Remote = defaultRemote
 	}
-	if cfg.MaxPreempted == 0 {
-		cfg.MaxPreempted = defaultMaxPreempted
+	if cfg.Reclaim == 0 {
+		cfg.Reclaim = defaultReclaim
+	}
+	if cfg.Stop == 0 {
+		cfg.Stop = defaultStop
+	}
+	if cfg.MaxLoss == 0 {
+		cfg.MaxLoss = defaultMaxLoss
 	}
 	return &Dispatcher{cfg: cfg}
 }
 
 // Rules that hold a demand back.
 const (
-	RuleRoom  = "no runner has room"
-	RuleLabel = "no runner has the label"
+	RuleRoom = "no runner has room"
+
 	RuleStops = "preempted runs have not ended yet"
-	RuleRack  = "waits for room on the rack that holds its data"
 )
 
 // Dispatch implements carawayshift.Dispatcher.
--- a/pkg/dispatch/gang.go
+++ b/pkg/dispatch/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"carawayshift.example/carawayshift"
 )
@@ -17,11 +18,7 @@
 			return
 		}
 	}
-	if d.Queue.Priority > 0 {
-		p.wait(d, RuleRoom)
-		return
-	}
-	p.clearForGang(d)
+	p.secureGang(d)
 }
 
 // gangRooms returns the sets of runners to try in turn: single racks, those
@@ -109,83 +106,169 @@
 		r, _ := p.pick(d, rooms, planned)
 		if r == nil {
 			for _, r := range list {
-				r.free = r.free.plus(need)
+				r.giveBack(need)
 			}
 			return nil, false
 		}
-		r.free = r.free.minus(need)
+		r.take(need)
 		planned[r]++
 		list = append(list, r)
 	}
 	return list, true
 }
 
-// clearForGang preempts for a gang of priority 0, when that makes room for all
-// of it, and reserves the room.
-func (p *pass) clearForGang(d *carawayshift.Demand) {
+// secureGang reserves the set of runners that is expected to have room for the
+// whole gang first, or makes room by preemption.
+func (p *pass) secureGang(d *carawayshift.Demand) {
 	sets := p.gangRooms(d)
-	slices.SortStableFunc(sets, func(a, b []*room) int { return -cmp.Compare(p.reach(d, a), p.reach(d, b)) })
-	for _, rooms := range sets {
-		if p.reach(d, rooms) < len(d.Indexes) {
-			continue
-		}
-		p.reserve(d, rooms)
+	set, at := p.soonestSet(d, sets)
+	if d.Queue.Priority == 0 && (set == nil || at.Sub(p.load.Now) > p.patience(d)) && p.clearForGang(d, sets) {
 		p.wait(d, RuleStops)
 		return
 	}
+	if set != nil {
+		p.reserveSet(d, set, at)
+	}
 	p.wait(d, RuleRoom)
 }
 
-// reach is how many tasks of the gang fit once everything that may be
-// preempted has ended.
-func (p *pass) reach(d *carawayshift.Demand, rooms []*room) int {
+// soonestSet returns the set in which the gang is expected to fit first.
+func (p *pass) soonestSet(d *carawayshift.Demand, sets [][]*room) (best []*room, at time.Time) {
+	for _, rooms := range sets {
+		t, ok := p.gangOpenAt(d, rooms)
+		if ok && (best == nil || t.Before(at)) {
+			best, at = rooms, t
+		}
+	}
+	return best, at
+}
+
+// gangOpenAt returns when all tasks are expected to fit on a set of runners.
+func (p *pass) gangOpenAt(d *carawayshift.Demand, rooms []*room) (time.Time, bool) {
+	times := []time.Time{p.load.Now}
+	for _, r := range rooms {
+		for _, e := range r.releases {
+			times = append(times, e.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	i, _ := slices.BinarySearchFunc(times, true, func(t time.Time, _ bool) int {
+		if p.gangFits(d, rooms, t) {
+			return 1
+		}
+		return -1
+	})
+	if i == len(times) {
+		return time.Time{}, false
+	}
+	return times[i], true
+}
+
+func (p *pass) gangFits(d *carawayshift.Demand, rooms []*room, at time.Time) bool {
 	n := 0
+	for _, r := range rooms {
+		if r.suits(d) {
+			n += copies(r.free.plus(r.ending(at)), sizeOf(d.Need), d.Need.Spread)
+		}
+	}
+	return n >= len(d.Indexes)
+}
+
+func (p *pass) reserveSet(d *carawayshift.Demand, rooms []*room, at time.Time) {
+	need, left := sizeOf(d.Need), len(d.Indexes)
 	for _, r := range rooms {
 		if !r.suits(d) {
 			continue
 		}
-		have := r.free.plus(r.soon)
-		for _, v := range r.victims {
-			for _, h := range v.runs {
-				if !v.stopped && h.Runner == r.agent.ID {
-					have = have.plus(sizeOf(h.Need))
-				}
-			}
+		n := min(left, copies(r.free.plus(r.ending(at)), need, d.Need.Spread))
+		for range n {
+			r.reserve(need, at)
 		}
-		n += copies(have, sizeOf(d.Need), d.Need.Spread)
+		left -= n
 	}
-	return n
 }
 
-// reserve takes room for the tasks one by one, where the least work is lost.
-func (p *pass) reserve(d *carawayshift.Demand, rooms []*room) {
-	need := sizeOf(d.Need)
-	planned := map[*room]int{}
-	for range d.Indexes {
-		r := cheapest(p, d, rooms, planned, need)
-		if r == nil {
-			return
+// clearForGang preempts where that makes room for the whole gang at the least
+// loss, and reserves the room.
+func (p *pass) clearForGang(d *carawayshift.Demand, sets [][]*room) bool {
+	forced := p.guaranteed(d)
+	by := p.load.Now.Add(p.cfg.Stop)
+	var best []clearing
+	var least float64
+	for _, rooms := range sets {
+		list, lost, ok := p.clearSet(d, rooms, by, forced)
+		if ok && (best == nil || lost < least) {
+			best, least = list, lost
 		}
-		list, _, _ := r.clear(need)
-		for _, v := range list {
-			p.stop(v, d)
+	}
+	if best == nil || !forced && least > p.mayLose(d, len(d.Indexes)) {
+		return false
+	}
+	for _, c := range best {
+		for _, v := range c.victims {
+			if !v.stopped {
+				p.stop(v, d)
+			}
+		}
+		for range c.tasks {
+			c.room.reserve(sizeOf(d.Need), by)
 		}
-		r.free = r.free.minus(need)
-		planned[r]++
 	}
+	return true
+}
+
+// clearing is the room for some tasks on one runner.
+type clearing struct {
+	room    *room
+	tasks   int
+	victims []*victim
 }
 
-func cheapest(p *pass, d *carawayshift.Demand, rooms []*room, planned map[*room]int, need size) *room {
-	var best *room
-	least := int64(0)
+// clearSet finds room for all tasks on a set of runners, those first that lose
+// the least for each task.
+func (p *pass) clearSet(d *carawayshift.Demand, rooms []*room, by time.Time, forced bool) (list []clearing, lost float64, ok bool) {
+	type option struct {
+		clearing
+		lost float64
+	}
+	need := sizeOf(d.Need)
+	var options []option
 	for _, r := range rooms {
-		if !r.suits(d) || p.crowded(d, r, planned) {
+		if !r.suits(d) {
+			continue
+		}
+		most := copies(r.total, need, d.Need.Spread)
+		for n := 1; n <= min(most, len(d.Indexes)); n++ {
+			victims, cost, ok := r.clear(need.times(n), by, forced)
+			if ok {
+				options = append(options, option{clearing{r, n, victims}, cost})
+			}
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Or(cmp.Compare(a.lost/float64(a.tasks), b.lost/float64(b.tasks)), -cmp.Compare(a.tasks, b.tasks))
+	})
+	used := map[*room]bool{}
+	counted := map[*victim]bool{}
+	left := len(d.Indexes)
+	for _, o := range options {
+		if left == 0 {
+			break
+		}
+		if used[o.room] || o.tasks > left {
 			continue
 		}
-		_, lost, ok := r.clear(need)
-		if ok && (best == nil || int64(lost) < least) {
-			best, least = r, int64(lost)
+		used[o.room] = true
+		left -= o.tasks
+		list = append(list, o.clearing)
+		for _, v := range o.victims {
+			if !counted[v] {
+				lost += v.lost
+			}
+			counted[v] = true
 		}
 	}
-	return best
+	return list, lost, left == 0
 }
+
+func (a size) times(n int) size { return size{a.cores * n, a.memory * n, a.accelerators * n} }
--- a/pkg/dispatch/pass.go
+++ b/pkg/dispatch/pass.go
@@ -13,6 +13,9 @@
 	cfg   Config
 	load  carawayshift.Load
 	rooms []*room
+	// needs is the accelerators that each team's unfinished tasks of priority
+	// 0 want.
+	needs map[string]int
 	out   carawayshift.Dispatch
 }
 
@@ -27,18 +30,30 @@
 	occurrence, step int
 }
 
+const (
+	// restartCost is the run time that the stop and resume of a checkpointed
+	// run cost.
+	restartCost = 500 * time.Millisecond
+	// overdue is how much longer a run is expected to take once it has taken
+	// as long as expected, as a share of that.
+	overdue = 0.3
+	// maxReserved bounds the tasks of one demand that hold reservations.
+	maxReserved = 4
+)
+
 func newPass(cfg Config, l carawayshift.Load) *pass {
-	p := &pass{cfg: cfg, load: l}
+	p := &pass{cfg: cfg, load: l, needs: map[string]int{}}
 	rooms := map[agentKey]*room{}
 	for _, a := range l.Agents {
 		if a.Leaving || l.Closed[a.Zone] {
 			continue
 		}
 		total := size{a.MilliCores, a.Memory, a.Accelerators}
-		r := &room{agent: a, total: total, free: total}
+		r := &room{agent: a, total: total, free: total, idle: total}
 		rooms[agentKey{a.ID, a.Life}] = r
 		p.rooms = append(p.rooms, r)
 	}
+	p.sumNeeds()
 	gangs := map[gangKey]*victim{}
 	for _, h := range l.Holdings {
 		if r := rooms[agentKey{h.Runner, h.Life}]; r != nil {
@@ -46,22 +61,44 @@
 		}
 	}
 	for _, r := range p.rooms {
-		slices.SortStableFunc(r.victims, func(a, b *victim) int { return cmp.Compare(a.lost, b.lost) })
+		r.sort()
 	}
 	return p
 }
 
-// occupy takes a run's resources off its runner and notes it as a victim.
+func (p *pass) sumNeeds() {
+	for _, h := range p.load.Holdings {
+		if h.Priority == 0 && !h.Unwanted {
+			p.needs[h.Team] += h.Need.Accelerators
+		}
+	}
+	for _, d := range p.load.Demands {
+		if d.Queue.Priority == 0 {
+			p.needs[d.Team] += len(d.Indexes) * d.Need.Accelerators
+		}
+	}
+}
+
+// guaranteed tells whether a demand must begin in time, because its team
+// wants no more than its guarantee.
+func (p *pass) guaranteed(d *carawayshift.Demand) bool {
+	return d.Queue.Priority == 0 && d.Need.Accelerators > 0 && p.needs[d.Team] <= p.load.Guarantees[d.Team]
+}
+
+// occupy takes a run's resources off its runner and notes when it ends and
+// whether it may be preempted.
 func (p *pass) occupy(r *room, h carawayshift.Holding, gangs map[gangKey]*victim) {
-	r.free = r.free.minus(sizeOf(h.Need))
-	switch {
-	case h.Stopping || h.Unwanted:
-		r.soon = r.soon.plus(sizeOf(h.Need))
+	n := sizeOf(h.Need)
+	r.take(n)
+	stopping := h.Stopping || h.Unwanted
+	r.releases = append(r.releases, release{p.endOf(h, stopping), n})
+	if stopping || h.Need.Lasting {
 		return
-	case h.Priority == 0 || h.Need.Lasting:
+	}
+	if h.Priority == 0 && p.needs[h.Team] <= p.load.Guarantees[h.Team] {
 		return
 	}
-	v := &victim{}
+	v := &victim{urgent: h.Priority == 0}
 	if h.Need.Gang {
 		k := gangKey{h.Task.Batch, h.Task.Occurrence, h.Task.Step}
 		if gangs[k] == nil {
@@ -76,16 +113,26 @@
 	}
 }
 
-// lost is the work that a stop throws away, in time of one accelerator.
-func (p *pass) lost(h carawayshift.Holding) time.Duration {
-	if h.Need.Checkpoints {
-		return time.Duration(max(h.Need.Accelerators, 1)) * restartCost
+// endOf is when a run is expected to end.
+func (p *pass) endOf(h carawayshift.Holding, stopping bool) time.Time {
+	if stopping {
+		return p.load.Now.Add(p.cfg.Stop)
 	}
-	return time.Duration(max(h.Need.Accelerators, 1)) * p.load.Now.Sub(h.Ordered)
+	expected := h.Ordered.Add(h.Expected)
+	least := p.load.Now.Add(time.Duration(overdue * float64(h.Expected)))
+	if expected.Before(least) && p.load.Now.After(expected) {
+		return least
+	}
+	return expected
 }
 
-// restartCost is the work that the stop and resume of a checkpointed run cost.
-const restartCost = 500 * time.Millisecond
+// lost is the work in core-seconds that a stop throws away.
+func (p *pass) lost(h carawayshift.Holding) float64 {
+	if h.Need.Checkpoints {
+		return sizeOf(h.Need).work(restartCost)
+	}
+	return sizeOf(h.Need).work(p.load.Now.Sub(h.Ordered))
+}
 
 // serve places a demand as far as there is room.
 func (p *pass) serve(d *carawayshift.Demand) {
@@ -93,37 +140,68 @@
 		p.serveGang(d)
 		return
 	}
+	reserved := 0
 	for i := range d.Indexes {
-		if !p.serveTask(d, i) {
-			return
+		if r, others := p.pick(d, p.rooms, nil); r != nil {
+			r.take(sizeOf(d.Need))
+			d.Present[r.agent.ID]++
+			p.start(r, d, i, others)
+			continue
+		}
+		if reserved == maxReserved && d.Queue.Priority > 0 || !p.secure(d) {
+			break
 		}
+		reserved++
+	}
+	if reserved > 0 {
+		p.wait(d, RuleRoom)
 	}
 }
 
-// serveTask places one task, waits for room that is being freed, or frees
-// some. It reports whether the next task of the demand is worth a try.
-func (p *pass) serveTask(d *carawayshift.Demand, i int) bool {
-	if r, n := p.pick(d, p.rooms, nil); r != nil {
-		p.take(r, d)
-		p.start(r, d, i, n)
-		return true
+// secure reserves the first room for a task that finds none, or makes some.
+// It reports whether a task of the demand has any prospect.
+func (p *pass) secure(d *carawayshift.Demand) bool {
+	r, at := p.soonest(d)
+	if d.Queue.Priority == 0 && (r == nil || at.Sub(p.load.Now) > p.patience(d)) {
+		if v := p.preempt(d); v != nil {
+			v.reserve(sizeOf(d.Need), p.load.Now.Add(p.cfg.Stop))
+			d.Present[v.agent.ID]++
+			return true
+		}
 	}
-	if d.Queue.Priority > 0 {
+	if r == nil {
 		p.wait(d, RuleRoom)
 		return false
 	}
-	if r := p.pickSoon(d); r != nil {
-		p.take(r, d)
-		p.wait(d, RuleStops)
-		return true
+	r.reserve(sizeOf(d.Need), at)
+	d.Present[r.agent.ID]++
+	return true
+}
+
+// patience is how long a demand may still wait without being late.
+func (p *pass) patience(d *carawayshift.Demand) time.Duration {
+	age := p.load.Now.Sub(d.Accepted)
+	slack := time.Duration((d.Queue.Stretch-1)*float64(d.Expected)) + d.Queue.Latency
+	left := time.Duration(slackShare*float64(slack)) - age
+	if p.guaranteed(d) {
+		left = min(left, p.cfg.Reclaim-p.cfg.Stop-reclaimReserve-age)
 	}
-	if r := p.preempt(d); r != nil {
-		p.take(r, d)
-		p.wait(d, RuleStops)
-		return true
+	return left
+}
+
+// soonest returns the runner that is expected to have room first.
+func (p *pass) soonest(d *carawayshift.Demand) (best *room, at time.Time) {
+	need := sizeOf(d.Need)
+	for _, r := range p.rooms {
+		if !r.suits(d) || p.crowded(d, r, nil) || !r.total.holds(need) {
+			continue
+		}
+		t, ok := r.openAt(need, p.load.Now)
+		if ok && (best == nil || t.Before(at)) {
+			best, at = r, t
+		}
 	}
-	p.wait(d, RuleRoom)
-	return false
+	return best, at
 }
 
 // pick chooses the runner that the task fills best, near its data first, and
@@ -132,7 +210,7 @@
 	need := sizeOf(d.Need)
 	remote := d.Need.DataRack == "" || !p.waitsForData(d)
 	for _, r := range rooms {
-		if !r.free.holds(need) || !r.suits(d) || p.crowded(d, r, planned) {
+		if !r.suits(d) || !r.open(need, p.load.Now, d.Expected) || p.crowded(d, r, planned) {
 			continue
 		}
 		if !r.near(d) && !remote {
@@ -153,7 +231,7 @@
 	if a.near(d) != b.near(d) {
 		return a.near(d)
 	}
-	left, other := a.free.minus(need), b.free.minus(need)
+	left, other := a.idle.minus(need), b.idle.minus(need)
 	c := cmp.Or(
 		cmp.Compare(left.accelerators, other.accelerators),
 		cmp.Compare(left.cores, other.cores),
@@ -168,7 +246,7 @@
 	near := slices.ContainsFunc(p.rooms, func(r *room) bool {
 		return r.near(d) && r.suits(d) && r.total.holds(sizeOf(d.Need))
 	})
-	patience := time.Duration((p.cfg.Remote - 1) * float64(d.Need.Declared))
+	patience := time.Duration((p.cfg.Remote - 1) * float64(d.Expected))
 	return near && p.load.Now.Sub(d.Accepted) < patience
 }
 
@@ -177,76 +255,61 @@
 	return d.Need.Spread > 0 && d.Present[r.agent.ID]+planned[r] >= d.Need.Spread
 }
 
-// pickSoon chooses a runner on which stopping runs make room.
-func (p *pass) pickSoon(d *carawayshift.Demand) *room {
-	need := sizeOf(d.Need)
-	for _, r := range p.rooms {
-		if r.free.plus(r.soon).holds(need) && r.suits(d) && !p.crowded(d, r, nil) {
-			return r
-		}
-	}
-	return nil
-}
-
-// preempt stops the runs whose end loses least so that the task fits.
+// preempt stops the runs whose end loses least so that the task fits, unless
+// they lose too much.
 func (p *pass) preempt(d *carawayshift.Demand) *room {
+	forced := p.guaranteed(d)
+	by := p.load.Now.Add(p.cfg.Stop)
 	var best *room
 	var chosen []*victim
-	var least time.Duration
+	var least float64
 	for _, r := range p.rooms {
 		if !r.suits(d) || p.crowded(d, r, nil) || !r.total.holds(sizeOf(d.Need)) {
 			continue
 		}
-		list, lost, ok := r.clear(sizeOf(d.Need))
+		list, lost, ok := r.clear(sizeOf(d.Need), by, forced)
 		if ok && (best == nil || lost < least) {
 			best, chosen, least = r, list, lost
 		}
 	}
+	if best == nil || !forced && least > p.mayLose(d, 1) {
+		return nil
+	}
 	for _, v := range chosen {
 		p.stop(v, d)
 	}
 	return best
 }
 
-// clear returns the victims that make room for a size.
-func (r *room) clear(need size) (list []*victim, lost time.Duration, ok bool) {
-	have := r.free.plus(r.soon)
-	for _, v := range r.victims {
-		if have.holds(need) {
-			break
-		}
-		if v.stopped {
-			continue
-		}
-		for _, h := range v.runs {
-			if h.Runner == r.agent.ID && h.Life == r.agent.Life {
-				have = have.plus(sizeOf(h.Need))
-			}
-		}
-		list = append(list, v)
-		lost += v.lost
+// mayLose is the work that may be thrown away for a number of tasks.
+func (p *pass) mayLose(d *carawayshift.Demand, tasks int) float64 {
+	if p.load.Now.After(d.Due) {
+		return 0
 	}
-	return list, lost, have.holds(need)
+	return p.cfg.MaxLoss * float64(tasks) * sizeOf(d.Need).work(d.Expected)
 }
 
 // stop preempts a run and its gang.
 func (p *pass) stop(v *victim, d *carawayshift.Demand) {
 	v.stopped = true
+	by := p.load.Now.Add(p.cfg.Stop)
 	for _, h := range v.runs {
 		p.out.Stops = append(p.out.Stops, carawayshift.DispatchStop{Task: h.Task, Run: h.Run, Runner: h.Runner, For: d.Batch})
 		for _, r := range p.rooms {
 			if r.agent.ID == h.Runner && r.agent.Life == h.Life {
-				r.soon = r.soon.plus(sizeOf(h.Need))
+				r.releaseBy(by, h, p)
 			}
 		}
 	}
 }
 
-// take reserves a runner's resources for the demand. They may be free only
-// once stopping runs have ended.
-func (p *pass) take(r *room, d *carawayshift.Demand) {
-	r.free = r.free.minus(sizeOf(d.Need))
-	d.Present[r.agent.ID]++
+// releaseBy brings the release of a stopped run forward.
+func (r *room) releaseBy(by time.Time, h carawayshift.Holding, p *pass) {
+	was := release{p.endOf(h, false), sizeOf(h.Need)}
+	if i := slices.Index(r.releases, was); i >= 0 {
+		r.releases[i].at = by
+		r.sort()
+	}
 }
 
 func (p *pass) start(r *room, d *carawayshift.Demand, i, others int) {
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,21 +33,39 @@
 	return a.cores >= b.cores && a.memory >= b.memory && a.accelerators >= b.accelerators
 }
 
-// room is one runner's free resources in the course of a pass.
+// work is the work of a run of a size in core-seconds.
+func (a size) work(d time.Duration) float64 {
+	return (float64(a.cores)/1000 + acceleratorCores*float64(a.accelerators)) * d.Seconds()
+}
+
+// room is one runner's resources in the course of a pass.
 type room struct {
 	agent carawayshift.Agent
 	total size
-	free  size
-	// soon is what stopping runs will free.
-	soon size
-	// victims are the runs that may be preempted.
+	// free is what neither runs nor reservations take; it is below zero while
+	// a reservation waits for runs to end. idle leaves reservations out.
+	free, idle size
+	// reserved is when the first reservation is expected to begin.
+	reserved time.Time
+	// releases are the open runs by their expected end.
+	releases []release
+	// victims are the runs that may be preempted, least loss first.
 	victims []*victim
 }
 
+// release is an open run whose end frees resources.
+type release struct {
+	at    time.Time
+	frees size
+}
+
 // victim is a run with its gang, which ends as a whole.
 type victim struct {
 	runs []carawayshift.Holding
-	lost time.Duration
+	// lost is the work in core-seconds that its end throws away.
+	lost float64
+	// urgent runs give way to guarantees only.
+	urgent bool
 	// stopped says that this pass preempted it.
 	stopped bool
 }
@@ -60,6 +79,93 @@
 	return d.Need.DataRack == "" || r.agent.Rack == d.Need.DataRack
 }
 
+// take uses resources now.
+func (r *room) take(n size) {
+	r.free = r.free.minus(n)
+	r.idle = r.idle.minus(n)
+}
+
+func (r *room) giveBack(n size) {
+	r.free = r.free.plus(n)
+	r.idle = r.idle.plus(n)
+}
+
+// reserve takes resources from a time on.
+func (r *room) reserve(n size, at time.Time) {
+	r.free = r.free.minus(n)
+	if r.reserved.IsZero() || at.Before(r.reserved) {
+		r.reserved = at
+	}
+}
+
+// open tells whether a task fits now: beside the reservations, or so that it
+// ends before they begin.
+func (r *room) open(n size, now time.Time, expected time.Duration) bool {
+	if r.free.holds(n) {
+		return true
+	}
+	return !r.reserved.IsZero() && r.idle.holds(n) && now.Add(expected).Before(r.reserved)
+}
+
+// openAt returns when a size is expected to fit.
+func (r *room) openAt(n size, now time.Time) (time.Time, bool) {
+	have := r.free
+	if have.holds(n) {
+		return now, true
+	}
+	for _, e := range r.releases {
+		have = have.plus(e.frees)
+		if have.holds(n) {
+			return e.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (r *room) sort() {
+	slices.SortStableFunc(r.releases, func(a, b release) int { return a.at.Compare(b.at) })
+	slices.SortStableFunc(r.victims, func(a, b *victim) int { return cmp.Compare(a.lost, b.lost) })
+}
+
+// ending returns what runs free that are about to end.
+func (r *room) ending(by time.Time) size {
+	var n size
+	for _, e := range r.releases {
+		if !e.at.After(by) {
+			n = n.plus(e.frees)
+		}
+	}
+	return n
+}
+
+// clear returns the victims that make room for a size, least loss first.
+func (r *room) clear(need size, by time.Time, forced bool) (list []*victim, lost float64, ok bool) {
+	have := r.free.plus(r.ending(by))
+	for _, v := range r.victims {
+		if have.holds(need) {
+			break
+		}
+		if v.stopped || v.urgent && !forced {
+			continue
+		}
+		have = have.plus(r.share(v))
+		list = append(list, v)
+		lost += v.lost
+	}
+	return list, lost, have.holds(need)
+}
+
+// share is what a victim's end frees on this runner.
+func (r *room) share(v *victim) size {
+	var n size
+	for _, h := range v.runs {
+		if h.Runner == r.agent.ID && h.Life == r.agent.Life {
+			n = n.plus(sizeOf(h.Need))
+		}
+	}
+	return n
+}
+
 // rack names a rack of a zone.
 type rack struct{ zone, name string }
 
