--- a/pkg/dispatch/pass.go
+++ b/pkg/dispatch/pass.go
@@ -53,7 +53,6 @@
 		rooms[agentKey{a.ID, a.Life}] = r
 		p.rooms = append(p.rooms, r)
 	}
-	p.sortRacks()
 	p.sumNeeds()
 	gangs := map[gangKey]*victim{}
 	for _, h := range l.Holdings {
@@ -67,24 +66,6 @@
 	return p
 }
 
-// sortRacks numbers the racks of each service, alternating between the zones.
-func (p *pass) sortRacks() {
-	var names []rack
-	seen := map[rack]bool{}
-	for _, r := range p.rooms {
-		if !seen[r.rack()] {
-			seen[r.rack()] = true
-			names = append(names, r.rack())
-		}
-	}
-	slices.SortFunc(names, func(a, b rack) int {
-		return cmp.Or(cmp.Compare(a.name, b.name), cmp.Compare(a.zone, b.zone))
-	})
-	for _, r := range p.rooms {
-		r.position = slices.Index(names, r.rack())
-	}
-}
-
 func (p *pass) sumNeeds() {
 	for _, h := range p.load.Holdings {
 		if h.Priority == 0 && !h.Unwanted {
@@ -238,22 +219,20 @@
 		if best != nil {
 			others++
 		}
-		if best == nil || p.fits(d, need, r, best) {
+		if best == nil || fits(d, need, r, best) {
 			best = r
 		}
 	}
 	return best, others
 }
 
-// fits tells whether a is a better runner for the task than b: near its data,
-// then on the racks for its kind of work, then the one that it fills best.
-func (p *pass) fits(d *carawayshift.Demand, need size, a, b *room) bool {
+// fits tells whether a is a better runner for the task than b.
+func fits(d *carawayshift.Demand, need size, a, b *room) bool {
 	if a.near(d) != b.near(d) {
 		return a.near(d)
 	}
 	left, other := a.idle.minus(need), b.idle.minus(need)
 	c := cmp.Or(
-		cmp.Compare(p.distance(d, a), p.distance(d, b)),
 		cmp.Compare(left.accelerators, other.accelerators),
 		cmp.Compare(left.cores, other.cores),
 		cmp.Compare(a.agent.ID, b.agent.ID),
@@ -261,20 +240,6 @@
 	return c < 0
 }
 
-// distance is how far a runner's rack is from the racks for a demand's kind of
-// work. Tasks that lose their work when they are stopped fill the racks from
-// one end and those with checkpoints from the other, so that urgent gangs find
-// whole racks that are idle or cheap to clear.
-func (p *pass) distance(d *carawayshift.Demand, r *room) int {
-	switch {
-	case d.Queue.Priority == 0:
-		return 0
-	case d.Need.Checkpoints:
-		return -r.position
-	}
-	return r.position
-}
-
 // waitsForData tells whether waiting for the data's rack still costs less than
 // running elsewhere.
 func (p *pass) waitsForData(d *carawayshift.Demand) bool {
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -42,8 +42,6 @@
 type room struct {
 	agent carawayshift.Agent
 	total size
-	// position is the place of its rack among all racks.
-	position int
 	// free is what neither runs nor reservations take; it is below zero while
 	// a reservation waits for runs to end. idle leaves reservations out.
 	free, idle size
