Serve advised queues, waves of upkeep, paced fillers and leaving runners

Change: tickets are fetched for the steps of advised queues; pkg/upkeep picks the machines of a wave, idle ones first, and the state records each step; pkg/pace slows tasks that fill when a neighbour's tail nears its bound; runs with checkpoints are stopped before their runner leaves.

Ruled out: an upkeep order per host; one leader orders all, so that the cap of a wave needs no agreement beyond the log.

--- a/agent.go
+++ b/agent.go
@@ -109,6 +109,70 @@
 	// Hold extends the lease to until, acknowledges ends up to seen, and waits
 	// up to wait for a new end.
 	Hold(ctx context.Context, o AgentOrder, seen uint64, until, wait time.Duration) (AgentStatus, error)
+	// Pace lets a task work at a share of its speed from 0 to 100.
+	Pace(ctx context.Context, o AgentOrder, task TaskName, run, percent int) error
+}
+
+// Ticket admits the tasks of a step on a runner.
+type Ticket struct {
+	Runner string
+	Text   string
+}
+
+// Advisor names the runners that may run a step of an advised queue.
+type Advisor interface {
+	// Advise returns the tickets of those runners among the named ones, and
+	// how long they are valid. Kind Limited says that too many calls wait.
+	Advise(ctx context.Context, step TaskName, runners []string) (tickets []Ticket, valid time.Duration, err error)
+}
+
+// Machine is a host of runners as the platform lists it.
+type Machine struct {
+	Name string
+	// Pool is the service to which it belongs.
+	Pool string
+	// State is up, moving, upkeep or down.
+	State string
+	Zone  string
+	// Runner is the id of its runner, "" without one.
+	Runner string
+}
+
+// MachineUp is the state of a machine that can take orders.
+const MachineUp = "up"
+
+// Machines orders the platform's machines. The fencing token applies to each
+// machine by itself.
+type Machines interface {
+	List(ctx context.Context) ([]Machine, error)
+	// Upkeep takes a machine down for its upkeep of a wave. Everything on it
+	// ends at once. Kind Refused says that it is busy or not of that wave,
+	// Conflict that a newer holder has ordered.
+	Upkeep(ctx context.Context, holder string, fence uint64, machine string, wave int) error
+}
+
+// Wave is an order to give machines their upkeep.
+type Wave struct {
+	ID       int       `cbor:"1,keyasint" json:"id"`
+	Machines []string  `cbor:"2,keyasint" json:"machines"`
+	Due      time.Time `cbor:"3,keyasint" json:"due"`
+	// Limit is the most machines that are down at once.
+	Limit int `cbor:"4,keyasint" json:"limit"`
+	// Begun holds the machines whose upkeep was ordered, Done those that are
+	// back or gone.
+	Begun []string `cbor:"5,keyasint,omitempty" json:"begun,omitempty"`
+	Done  []string `cbor:"6,keyasint,omitempty" json:"done,omitempty"`
+}
+
+// Complete reports whether every machine had its upkeep.
+func (w Wave) Complete() bool { return len(w.Done) >= len(w.Machines) }
+
+// WaveStep records the progress of one machine of a wave.
+type WaveStep struct {
+	Wave    int    `cbor:"1,keyasint" json:"wave"`
+	Machine string `cbor:"2,keyasint" json:"machine"`
+	// Done is false when the upkeep is about to be ordered.
+	Done bool `cbor:"3,keyasint,omitempty" json:"done,omitempty"`
 }
 
 // Address is what a caller's request names.
@@ -136,4 +200,7 @@
 	SetZone(ctx context.Context, zone string, out bool) error
 	Report(ctx context.Context, a Agent) error
 	Leave(ctx context.Context, id string) error
+	StartWave(ctx context.Context, w Wave) error
+	// WaveComplete has kind NotFound for a wave that nobody ordered.
+	WaveComplete(ctx context.Context, id int) (bool, error)
 }
--- a/batch.go
+++ b/batch.go
@@ -172,6 +172,8 @@
 	Ends    []RunEnd   `cbor:"4,keyasint,omitempty" json:"ends,omitempty"`
 	Due     []Due      `cbor:"5,keyasint,omitempty" json:"due,omitempty"`
 	Starts  []RunStart `cbor:"6,keyasint,omitempty" json:"starts,omitempty"`
+	Wave    *Wave      `cbor:"8,keyasint,omitempty" json:"wave,omitempty"`
+	Upkeep  []WaveStep `cbor:"9,keyasint,omitempty" json:"upkeep,omitempty"`
 	// Forget drops batches that ended before it.
 	Forget time.Time `cbor:"7,keyasint,omitempty" json:"forget"`
 }
--- a/demand.go
+++ b/demand.go
@@ -22,6 +22,8 @@
 	First bool
 	// Expected is how long a task of the step probably runs.
 	Expected time.Duration
+	// Allowed limits the runners to those with a ticket; nil allows all.
+	Allowed map[string]bool
 	// Present counts the open runs of the step on each runner.
 	Present map[string]int
 }
@@ -59,8 +61,10 @@
 	Demands  []Demand
 	// Guarantees maps teams to their accelerators for priority 0.
 	Guarantees map[string]int
-	// Closed are the zones that take no work.
-	Closed map[string]bool
+	// Closed are the zones that take no work, Emptying the machines that are
+	// about to go down for upkeep.
+	Closed   map[string]bool
+	Emptying map[string]bool
 }
 
 // Dispatch is a decision for one Load.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -36,8 +36,12 @@
 	Heartbeat time.Duration
 	// Keep is how long an ended batch can be asked for.
 	Keep time.Duration
-	// Restart is the work of one accelerator that an orderly stop costs.
+	// Stop is the longest time that a stop takes.
 	Stop time.Duration
+	// Notice is how long the absence of a lasting task counts after it is back.
+	Notice time.Duration
+	// Upkeep is how long a machine's upkeep takes.
+	Upkeep time.Duration
 }
 
 const (
@@ -68,9 +72,13 @@
 	Closed  func() map[string]bool
 	Planner carawayshift.Dispatcher
 	Client  carawayshift.AgentClient
-	Timing  Timing
-	Logger  logrus.FieldLogger
-	Metrics *metrics.Set
+	// Advisor and Machines are the platform's services; they are called only
+	// for advised queues and for waves of upkeep.
+	Advisor  carawayshift.Advisor
+	Machines carawayshift.Machines
+	Timing   Timing
+	Logger   logrus.FieldLogger
+	Metrics  *metrics.Set
 }
 
 // Dispatcher is the leader's loop.
--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -49,6 +49,9 @@
 func (s *session) hold(wait time.Duration) (carawayshift.AgentStatus, error) {
 	s.t.mu.Lock()
 	order, seen, until := s.order(), s.recorded, s.lease()
+	if s.paced() {
+		wait = min(wait, paceLook)
+	}
 	for _, r := range s.runs {
 		// A run that is about to end is worth a look soon.
 		if r.stopping {
@@ -164,6 +167,7 @@
 		}
 		s.unexpected(r)
 	}
+	s.setPace(st)
 	for task, r := range s.runs {
 		if listed[task] == r.run || r.ended || r.settled.IsZero() || !r.settled.Before(sent) {
 			continue
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -60,8 +60,14 @@
 	ordered  time.Time
 	// resumed runs began from a checkpoint.
 	resumed bool
+	need    carawayshift.Step
+	// percent is the pace that was ordered.
+	percent int
 }
 
+// fullPace is the pace of a task at its start.
+const fullPace = 100
+
 func newSession(t *tenure, a carawayshift.Agent) *session {
 	s := &session{
 		t: t, agent: a, runs: map[carawayshift.TaskName]*run{}, wake: make(chan struct{}, 1),
@@ -135,7 +141,7 @@
 
 // adopt takes over a run of an earlier tenure. It needs t.mu.
 func (s *session) adopt(h carawayshift.Holding) {
-	s.runs[h.Task] = &run{run: h.Run, checkpoint: h.Checkpoint, ordered: h.Ordered, resumed: h.Checkpoint != ""}
+	s.runs[h.Task] = &run{run: h.Run, checkpoint: h.Checkpoint, ordered: h.Ordered, resumed: h.Checkpoint != "", need: h.Need, percent: unknownPace}
 	s.t.spawn(func() { s.confirm(h.Task, h.Run) })
 	s.poke()
 }
@@ -175,7 +181,7 @@
 // begin sends the order to start a run. It needs t.mu.
 func (s *session) begin(st carawayshift.RunStart) {
 	checkpoint := s.t.d.cfg.Table.Checkpoint(st.Task)
-	s.runs[st.Task] = &run{run: st.Run, checkpoint: checkpoint, ordered: time.Now(), resumed: checkpoint != ""}
+	s.runs[st.Task] = &run{run: st.Run, checkpoint: checkpoint, ordered: time.Now(), resumed: checkpoint != "", need: s.t.d.cfg.Table.Need(st.Task), percent: fullPace}
 	s.t.spawn(func() { s.start(st) })
 }
 
@@ -212,6 +218,7 @@
 	if r != nil {
 		o.Checkpoint = r.checkpoint
 	}
+	o.Ticket = s.t.ticketFor(st.Task, s.agent.ID)
 	order := s.order()
 	s.t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
@@ -263,6 +270,7 @@
 	s.t.stopGang(st.Task, "another member was refused")
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
+	s.t.dropTicket(st.Task, s.agent.ID)
 	s.avoid = time.Now().Add(avoidAfterRefusal)
 	if why == carawayshift.RefusedSick {
 		s.avoid = time.Now().Add(avoidSick)
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -27,7 +27,13 @@
 	// sent holds the runs whose order this tenure has sent or taken over.
 	sent map[carawayshift.TaskName]int
 	ends []endReport
-	wg   sync.WaitGroup
+	// advice is what is known of advised steps.
+	advice map[carawayshift.TaskName]*advice
+	// emptying holds machines that are next in a wave, upkept those whose
+	// upkeep was confirmed.
+	emptying map[string]bool
+	upkept   map[waveMachine]bool
+	wg       sync.WaitGroup
 	// recorded is signalled when ends wait for their commit.
 	ended chan struct{}
 }
@@ -44,6 +50,7 @@
 		d: d, term: term, began: time.Now(), resign: resign,
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
 		sessions: map[string]*session{}, stopping: map[carawayshift.TaskName]int{},
+		advice: map[carawayshift.TaskName]*advice{}, upkept: map[waveMachine]bool{},
 		sent: map[carawayshift.TaskName]int{}, ended: make(chan struct{}, 1),
 	}
 }
@@ -59,6 +66,7 @@
 	t.ctx = ctx
 	t.mu.Unlock()
 	t.spawn(func() { t.record(ctx) })
+	t.spawn(func() { t.tend(ctx) })
 	for ctx.Err() == nil {
 		next := t.step(ctx)
 		timer := time.NewTimer(next)
@@ -125,17 +133,38 @@
 			l.Agents = append(l.Agents, a)
 		}
 	}
+	l.Emptying = t.emptying
+	for i, d := range l.Demands {
+		if d.Queue.Advised {
+			l.Demands[i].Allowed = t.allowed(d, l.Agents, now)
+		}
+	}
+	t.forgetAdvice(l.Demands)
 	for _, h := range holdings {
 		h.Expected = t.d.took.Expect(h.Queue, h.Need.Declared)
 		h.Stopping = t.stopping[h.Task] == h.Run
-		if h.Unwanted && !h.Stopping {
+		switch {
+		case h.Stopping:
+		case h.Unwanted:
 			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its batch has ended")
+		case h.Need.Checkpoints && t.leavesBefore(h, now):
+			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its runner leaves before it ends")
 		}
 		l.Holdings = append(l.Holdings, h)
 	}
 	return l
 }
 
+// leavesBefore tells whether a run's runner is expected to be gone before the
+// run ends; a stop then saves its work. It needs t.mu.
+func (t *tenure) leavesBefore(h carawayshift.Holding, now time.Time) bool {
+	s := t.sessions[h.Runner]
+	if s == nil || s.agent.Life != h.Life || !s.agent.Leaving {
+		return false
+	}
+	return h.Ordered.Add(h.Expected).After(s.seen.Add(s.agent.Left)) && now.Sub(h.Ordered) < h.Expected
+}
+
 // dropLapsed records as lost the runs that were ordered before this tenure and
 // whose runner is not known, once their leases have certainly ended.
 func (t *tenure) dropLapsed(l carawayshift.Load) {
--- a/internal/governor/governor.go
+++ b/internal/governor/governor.go
@@ -262,3 +262,27 @@
 	}
 	return g.cfg.Runners.Leave(id)
 }
+
+// StartWave takes an order for the upkeep of machines.
+func (g *Governor) StartWave(ctx context.Context, w carawayshift.Wave) error {
+	if err := g.lead(); err != nil {
+		return err
+	}
+	return g.change(ctx, &carawayshift.BatchChange{Wave: &w})
+}
+
+// WaveComplete tells whether every machine of a wave had its upkeep.
+func (g *Governor) WaveComplete(ctx context.Context, id int) (bool, error) {
+	if err := g.lead(); err != nil {
+		return false, err
+	}
+	if err := g.fresh(ctx); err != nil {
+		return false, err
+	}
+	for _, w := range g.cfg.Table.Waves() {
+		if w.ID == id {
+			return w.Complete(), nil
+		}
+	}
+	return false, carawayshift.NewError(carawayshift.NotFound, "no wave "+strconv.Itoa(id), "order it first")
+}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -60,6 +60,18 @@
 	return err
 }
 
+// StartWave implements carawayshift.Governor.
+func (r *Relay) StartWave(ctx context.Context, w carawayshift.Wave) error {
+	_, err := r.call(ctx, request{Op: opWave, Wave: &w})
+	return err
+}
+
+// WaveComplete implements carawayshift.Governor.
+func (r *Relay) WaveComplete(ctx context.Context, id int) (bool, error) {
+	a, err := r.call(ctx, request{Op: opWaved, Wave: &carawayshift.Wave{ID: id}})
+	return a.Count > 0, err
+}
+
 // handle answers another host's relay. A host that does not lead passes the
 // request on once.
 func (r *Relay) handle(ctx context.Context, _ string, body []byte) ([]byte, error) {
@@ -88,42 +100,47 @@
 
 // answer carries a request out on this host, if it leads.
 func (r *Relay) answer(ctx context.Context, q request) reply {
-	var a reply
-	var err error
-	switch q.Op {
-	case opSubmit:
-		if q.Batch == nil {
-			err = carawayshift.NewError(carawayshift.Malformed, "the request carries no batch", "run the same release on all hosts")
-			break
-		}
+	a, err := r.execute(ctx, q)
+	if err != nil {
+		return failure(err)
+	}
+	a.Leader, _ = r.group.Leader()
+	return a
+}
+
+func (r *Relay) execute(ctx context.Context, q request) (a reply, err error) {
+	switch {
+	case q.Op == opSubmit && q.Batch != nil:
 		err = r.local.Submit(ctx, q.At, *q.Batch)
-	case opState:
+	case q.Op == opState:
 		a.State, err = r.local.State(ctx, q.At)
-	case opCancel:
+	case q.Op == opCancel:
 		err = r.local.Cancel(ctx, q.At)
-	case opWaiting:
+	case q.Op == opWaiting:
 		a.Count, err = r.local.Waiting(ctx, q.At)
-	case opReplace:
+	case q.Op == opReplace && q.Catalog != nil:
 		err = r.local.Replace(ctx, *q.Catalog)
-	case opCatalog:
+	case q.Op == opCatalog:
 		a.Source, err = r.local.Catalog(ctx)
-	case opZone:
+	case q.Op == opZone:
 		err = r.local.SetZone(ctx, q.Name, q.Out)
-	case opReport:
+	case q.Op == opReport && q.Agent != nil:
 		err = r.local.Report(ctx, *q.Agent)
-	case opLeave:
+	case q.Op == opLeave:
 		err = r.local.Leave(ctx, q.Name)
-	case opMembers:
+	case q.Op == opWave && q.Wave != nil:
+		err = r.local.StartWave(ctx, *q.Wave)
+	case q.Op == opWaved && q.Wave != nil:
+		var done bool
+		done, err = r.local.WaveComplete(ctx, q.Wave.ID)
+		if done {
+			a.Count = 1
+		}
+	case q.Op == opMembers:
 	default:
-		err = carawayshift.NewError(carawayshift.Malformed, "unknown operation "+q.Op, "run the same release on all hosts")
+		err = carawayshift.NewError(carawayshift.Malformed, "operation "+q.Op+" is unknown or incomplete", "run the same release on all hosts")
 	}
-	if err != nil {
-		f := failure(err)
-		a.Kind, a.Text, a.Remedy = f.Kind, f.Text, f.Remedy
-		return a
-	}
-	a.Leader, _ = r.group.Leader()
-	return a
+	return a, err
 }
 
 func failure(err error) reply {
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -17,6 +17,8 @@
 	opReport  = "report"
 	opLeave   = "leave"
 	opMembers = "members"
+	opWave    = "wave"
+	opWaved   = "waved"
 )
 
 // request is one call for the leader. Which fields are set depends on Op.
@@ -27,8 +29,9 @@
 	Catalog *carawayshift.Catalog `cbor:"4,keyasint,omitempty"`
 	Agent   *carawayshift.Agent   `cbor:"5,keyasint,omitempty"`
 	// Name is a zone or a runner.
-	Name string `cbor:"6,keyasint,omitempty"`
-	Out  bool   `cbor:"7,keyasint,omitempty"`
+	Name string             `cbor:"6,keyasint,omitempty"`
+	Out  bool               `cbor:"7,keyasint,omitempty"`
+	Wave *carawayshift.Wave `cbor:"9,keyasint,omitempty"`
 	// Passed is set on a request that a control host passes on to the leader.
 	Passed bool `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -26,6 +26,10 @@
 	c.duration("runners", "heartbeat", &s.Runners.Heartbeat)
 	c.duration("runners", "stop", &s.Runners.Stop)
 	c.duration("runners", "reclaim", &s.Runners.Reclaim)
+	c.duration("runners", "notice", &s.Runners.Notice)
+	c.duration("runners", "upkeep", &s.Runners.Upkeep)
+	c.service("machines", &s.Services.Machines)
+	c.service("advice", &s.Services.Advice)
 	c.factor("runners", "remote", &s.Runners.Remote)
 	c.duration("batches", "keep", &s.Batches.Keep)
 	if e, ok := c.find("limits", "memory"); ok {
@@ -47,6 +51,19 @@
 	}
 }
 
+// service reads the address of a service of the platform, which may be empty.
+func (c *checker) service(key string, into *string) {
+	e, ok := c.find("services", key)
+	if !ok || e.value == "" {
+		return
+	}
+	if _, err := netip.ParseAddrPort(e.value); err != nil {
+		c.add("services", e, "is not IP:port", "write for example 192.0.2.9:8524, or leave it empty")
+		return
+	}
+	*into = e.value
+}
+
 // readSeeds reads IP addresses, with or without a port; the transport's port
 // is the same on all hosts.
 func (c *checker) readSeeds(s *Settings) {
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -62,9 +62,10 @@
 	"zones":    nil,
 	"peers":    nil,
 	"join":     {"seeds", "first", "voters"},
-	"runners":  {"lease", "heartbeat", "stop", "remote", "reclaim"},
+	"runners":  {"lease", "heartbeat", "stop", "remote", "reclaim", "notice", "upkeep"},
 	"batches":  {"keep"},
 	"limits":   {"memory"},
+	"services": {"machines", "advice"},
 }
 
 type entry struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,15 @@
 	Runners Runners
 	Batches Batches
 	Limits  Limits
+	// Services are the platform's own.
+	Services Services
+}
+
+// Services holds the addresses of the platform's services, "" where it has
+// none.
+type Services struct {
+	Machines string
+	Advice   string
 }
 
 // Join says how a host finds the others.
@@ -67,6 +76,10 @@
 	Stop time.Duration
 	// Reclaim is the time in which a team gets its guarantee back.
 	Reclaim time.Duration
+	// Notice is how long the absence of a lasting task counts after its return.
+	Notice time.Duration
+	// Upkeep is how long the upkeep of a machine takes.
+	Upkeep time.Duration
 	// Remote is how many times longer tasks take away from their data.
 	Remote float64
 }
@@ -203,7 +216,7 @@
 		Log:      Log{Level: "info", Format: "text"},
 		Zones:    map[string]string{},
 		Join:     Join{Voters: 3},
-		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, Remote: 3},
+		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, Notice: 6 * time.Second, Upkeep: 2 * time.Second, Remote: 3},
 		Batches:  Batches{Keep: 3 * time.Minute},
 	}
 }
--- a/internal/station/control.go
+++ b/internal/station/control.go
@@ -52,14 +52,18 @@
 		Host: s.name, Replica: c.replica, Transport: s.mesh, Known: s.relay.Known,
 		Wanted: cfg.Join.Voters, Patience: voterPatience, Logger: s.opts.Log,
 	})
+	client := platform.NewClient()
+	services := platform.NewServices(client, cfg.Services.Machines, cfg.Services.Advice)
 	lead := leadership.New(s.name, c.replica)
 	c.dispatcher = dispatcher.New(dispatcher.Config{
 		Host: s.name, Log: c.replica, Term: lead.Term, Table: c.machine.Batches(), Closed: c.closedZones,
 		Planner: dispatch.New(dispatch.Config{
 			Remote: cfg.Runners.Remote, Reclaim: cfg.Runners.Reclaim, Stop: cfg.Runners.Stop,
-		}), Client: platform.NewClient(),
+		}), Client: client,
+		Advisor: services, Machines: services,
 		Timing: dispatcher.Timing{
-			Lease: cfg.Runners.Lease, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop, Keep: cfg.Batches.Keep,
+			Lease: cfg.Runners.Lease, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop,
+			Notice: cfg.Runners.Notice, Upkeep: cfg.Runners.Upkeep, Keep: cfg.Batches.Keep,
 		},
 		Logger: s.opts.Log, Metrics: s.metrics,
 	})
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -34,6 +34,7 @@
 	order []string
 	// active holds the batches that have not ended or have open runs.
 	active map[string]bool
+	waves  []carawayshift.Wave
 }
 
 // Snapshot is the encoded form of a table.
@@ -41,6 +42,7 @@
 	Catalog carawayshift.Catalog `cbor:"1,keyasint"`
 	// Batches are in the order of acceptance.
 	Batches []carawayshift.Batch `cbor:"2,keyasint,omitempty"`
+	Waves   []carawayshift.Wave  `cbor:"3,keyasint,omitempty"`
 }
 
 // New returns an empty table.
@@ -55,7 +57,7 @@
 func (t *Table) Snapshot() Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := Snapshot{Catalog: t.catalog}
+	s := Snapshot{Catalog: t.catalog, Waves: t.waves}
 	for _, id := range t.order {
 		s.Batches = append(s.Batches, *t.batches[id])
 	}
@@ -69,6 +71,7 @@
 	t.catalog, t.routes = s.Catalog, newRoutes(s.Catalog)
 	t.batches = map[string]*carawayshift.Batch{}
 	t.order, t.active = nil, map[string]bool{}
+	t.waves = s.Waves
 	for i := range s.Batches {
 		b := s.Batches[i]
 		t.batches[b.ID] = &b
@@ -105,6 +108,12 @@
 	for _, s := range c.Starts {
 		t.start(at, s)
 	}
+	if c.Wave != nil {
+		t.addWave(*c.Wave)
+	}
+	for _, u := range c.Upkeep {
+		t.noteUpkeep(u)
+	}
 	t.forget(c.Forget)
 	return nil
 }
@@ -258,6 +267,17 @@
 	return ""
 }
 
+// Need returns what a task needs.
+func (t *Table) Need(n carawayshift.TaskName) carawayshift.Step {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.batches[n.Batch]
+	if b == nil || n.Step < 0 || n.Step >= len(b.Steps) {
+		return carawayshift.Step{}
+	}
+	return b.Steps[n.Step]
+}
+
 // Checkpoint returns the newest checkpoint of a task.
 func (t *Table) Checkpoint(n carawayshift.TaskName) string {
 	t.mu.Lock()
--- /dev/null
+++ b/pkg/batch/waves.go
@@ -0,0 +1,56 @@
+package batch
+
+import (
+	"slices"
+
+	"carawayshift.example/carawayshift"
+)
+
+// maxWaves is the number of waves that stay known.
+const maxWaves = 256
+
+// addWave takes a wave, once.
+func (t *Table) addWave(w carawayshift.Wave) {
+	if t.wave(w.ID) != nil {
+		return
+	}
+	w.Begun, w.Done = nil, nil
+	t.waves = append(t.waves, w)
+	if len(t.waves) > maxWaves {
+		t.waves = t.waves[1:]
+	}
+}
+
+func (t *Table) wave(id int) *carawayshift.Wave {
+	i := slices.IndexFunc(t.waves, func(w carawayshift.Wave) bool { return w.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &t.waves[i]
+}
+
+func (t *Table) noteUpkeep(u carawayshift.WaveStep) {
+	w := t.wave(u.Wave)
+	if w == nil || !slices.Contains(w.Machines, u.Machine) {
+		return
+	}
+	w.Begun = with(w.Begun, u.Machine)
+	if u.Done {
+		w.Done = with(w.Done, u.Machine)
+	}
+}
+
+// with returns a new list, because readers hold the old one.
+func with(list []string, name string) []string {
+	if slices.Contains(list, name) {
+		return list
+	}
+	return append(slices.Clone(list), name)
+}
+
+// Waves returns all waves that are known, oldest first.
+func (t *Table) Waves() []carawayshift.Wave {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.waves)
+}
--- a/pkg/dispatch/pass.go
+++ b/pkg/dispatch/pass.go
@@ -37,6 +37,8 @@
 	// overdue is how much longer a run is expected to take once it has taken
 	// as long as expected, as a share of that.
 	overdue = 0.3
+	// lastingTime stands for the end of tasks that run until they are cancelled.
+	lastingTime = time.Hour
 	// maxReserved bounds the tasks of one demand that hold reservations.
 	maxReserved = 4
 )
@@ -45,7 +47,7 @@
 	p := &pass{cfg: cfg, load: l, needs: map[string]int{}}
 	rooms := map[agentKey]*room{}
 	for _, a := range l.Agents {
-		if a.Leaving || l.Closed[a.Zone] {
+		if a.Leaving || l.Closed[a.Zone] || l.Emptying[a.Machine] {
 			continue
 		}
 		total := size{a.MilliCores, a.Memory, a.Accelerators}
@@ -115,8 +117,11 @@
 
 // endOf is when a run is expected to end.
 func (p *pass) endOf(h carawayshift.Holding, stopping bool) time.Time {
-	if stopping {
+	switch {
+	case stopping:
 		return p.load.Now.Add(p.cfg.Stop)
+	case h.Need.Lasting:
+		return p.load.Now.Add(lastingTime)
 	}
 	expected := h.Ordered.Add(h.Expected)
 	least := p.load.Now.Add(time.Duration(overdue * float64(h.Expected)))
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -71,7 +71,7 @@
 }
 
 func (r *room) suits(d *carawayshift.Demand) bool {
-	return r.agent.Service == d.Queue.Service &&
+	return r.agent.Service == d.Queue.Service && (d.Allowed == nil || d.Allowed[r.agent.ID]) &&
 		(d.Need.Label == "" || slices.Contains(r.agent.Labels, d.Need.Label))
 }
 
