--- /dev/null
+++ b/pkg/dispatch/heavy_test.go
@@ -0,0 +1,113 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/dispatch"
+)
+
+// heavy is a mix of long wide renders, urgent gangs and many small tasks that
+// ask for about as much as the runners have.
+func heavy(x float64) []*class {
+	queue := func(name string, priority int, stretch float64, latency time.Duration) carawayshift.Queue {
+		return carawayshift.Queue{Name: name, Service: "fit", Priority: priority, Attempts: 3, Stretch: stretch, Latency: latency}
+	}
+	return []*class{
+		{
+			queue: queue("render", 1, 3, 1200*time.Millisecond), perS: 0.7 * x, width: 4, widest: 24,
+			work: 8500 * time.Millisecond, spread: 0.3, need: carawayshift.Step{MilliCores: 52000, Memory: 75000},
+			wide: []int{1, 2, 4, 8, 8}, gang: 0.5, oneRack: 0.6, resumes: 0.45, offBy: 0.5,
+		},
+		{
+			queue: queue("restyle", 0, 1.5, 500*time.Millisecond), perS: 2 * x, width: 3, widest: 18,
+			work: 2500 * time.Millisecond, spread: 0.5, need: carawayshift.Step{MilliCores: 15000, Memory: 31000},
+			wide: []int{1, 2, 4, 8, 8}, gang: 0.5, oneRack: 0.8, resumes: 0, offBy: 0.9,
+		},
+		{
+			queue: queue("strand", 2, 3, 3*time.Second), perS: 0.9 * x, width: 12, widest: 72,
+			work: 6100 * time.Millisecond, spread: 0.3, need: carawayshift.Step{MilliCores: 11000, Memory: 16000},
+			wide: []int{1}, resumes: 0.45, offBy: 0.9,
+		},
+	}
+}
+
+// firstCome is the baseline: in the order of acceptance, each task on the
+// first runner with room, nothing reserved, nothing preempted.
+type firstCome struct{}
+
+func (firstCome) Dispatch(l carawayshift.Load) carawayshift.Dispatch {
+	var out carawayshift.Dispatch
+	free := map[string][2]int{}
+	for _, a := range l.Agents {
+		free[a.ID] = [2]int{a.MilliCores, a.Accelerators}
+	}
+	for _, h := range l.Holdings {
+		f := free[h.Runner]
+		free[h.Runner] = [2]int{f[0] - h.Need.MilliCores, f[1] - h.Need.Accelerators}
+	}
+	for _, d := range l.Demands {
+		var list []carawayshift.DispatchStart
+		for i := range d.Indexes {
+			for _, a := range l.Agents {
+				f := free[a.ID]
+				if f[0] < d.Need.MilliCores || f[1] < d.Need.Accelerators {
+					continue
+				}
+				free[a.ID] = [2]int{f[0] - d.Need.MilliCores, f[1] - d.Need.Accelerators}
+				list = append(list, carawayshift.DispatchStart{RunStart: carawayshift.RunStart{Task: d.Task(i), Run: d.Runs[i], Runner: a.ID, Life: a.Life}})
+				break
+			}
+		}
+		if d.Need.Gang && len(list) < len(d.Indexes) {
+			for _, s := range list {
+				f := free[s.Runner]
+				free[s.Runner] = [2]int{f[0] + d.Need.MilliCores, f[1] + d.Need.Accelerators}
+			}
+			continue
+		}
+		out.Starts = append(out.Starts, list...)
+	}
+	return out
+}
+
+// outcome is what callers got over some seeds.
+type outcome struct {
+	inAim   map[string]float64
+	thrown  float64
+	stopped int
+}
+
+func playAll(planner func() carawayshift.Dispatcher, x float64, seeds int) outcome {
+	o := outcome{inAim: map[string]float64{}}
+	total := map[string]float64{}
+	for seed := range seeds {
+		classes := heavy(x)
+		p := newPlay(planner(), uint64(seed), classes)
+		p.run(30*time.Second, 60*time.Second)
+		o.stopped += p.stopped
+		for _, c := range classes {
+			o.inAim[c.queue.Name] += float64(c.inAim)
+			total[c.queue.Name] += float64(c.total)
+			o.thrown += c.thrown
+		}
+	}
+	for name := range total {
+		o.inAim[name] /= total[name]
+	}
+	return o
+}
+
+func ours() carawayshift.Dispatcher { return dispatch.New(dispatch.Config{}) }
+
+func TestHeavyLoadServesUrgentBatchesInTime(t *testing.T) {
+	o := NewWithT(t)
+	got := playAll(ours, 1, 8)
+	base := playAll(func() carawayshift.Dispatcher { return firstCome{} }, 1, 8)
+	t.Logf("in time: %v, thrown away %.0f core-seconds in %d stops", got.inAim, got.thrown, got.stopped)
+	t.Logf("first come: %v", base.inAim)
+	o.Expect(got.inAim["restyle"]).To(BeNumerically(">", base.inAim["restyle"]), "urgent batches")
+}
