station: elect a new leader after 600 ms of silence

Ruled out: 300 ms; a host with a processor quota stands still for 100 ms at a time and two such stops with a lost packet would end a healthy term.

--- a/internal/station/control.go
+++ b/internal/station/control.go
@@ -23,6 +23,11 @@
 // caught up takes its place; a planned restart takes less.
 const voterPatience = 4 * time.Second
 
+// electionTimeout is how long voters wait for a leader that is silent. A round
+// trip between regions takes 45 ms, a commit 60 ms, and a busy host may stand
+// still for a tenth of a second.
+const electionTimeout = 600 * time.Millisecond
+
 // control is what a control host has beyond an entry host.
 type control struct {
 	station    *Station
@@ -44,7 +49,9 @@
 	if cfg.Join.First {
 		voters = s.seedNames()
 	}
-	c.replica, err = replica.New(replica.Config{Host: s.name, Voters: voters, Logger: s.opts.Log}, j, c.machine, s.mesh)
+	c.replica, err = replica.New(replica.Config{
+		Host: s.name, Voters: voters, ElectionTimeout: electionTimeout, Logger: s.opts.Log,
+	}, j, c.machine, s.mesh)
 	if err != nil {
 		return nil, errors.CombineErrors(errors.Wrap(err, "station.newControl"), j.Close())
 	}
