dispatcher: foretell ends by progress, move stalled tasks, shun failing runners

Change: pkg/progress follows the percentages that runners report; pkg/probation keeps work off runners on which tasks of two batches failed, or one stood still, for 2 s and then twice as long each time; a batch prefers runners on which it has not failed.

Ruled out: pkg/quarantine as it is; it works on jobs of hours, from three failures on, with terms of ten minutes.

--- a/demand.go
+++ b/demand.go
@@ -22,6 +22,8 @@
 	First bool
 	// Expected is how long a task of the step probably runs.
 	Expected time.Duration
+	// Shunned are runners on which tasks of the batch have failed.
+	Shunned map[string]bool
 	// Allowed limits the runners to those with a ticket; nil allows all.
 	Allowed map[string]bool
 	// Present counts the open runs of the step on each runner.
@@ -47,6 +49,9 @@
 	Checkpoint string
 	// Expected is how long the run probably takes from Ordered on.
 	Expected time.Duration
+	// Ends is when the run is expected to end by its progress; zero if nothing
+	// is known of that yet.
+	Ends time.Time
 	// Unwanted runs belong to a batch that has ended.
 	Unwanted bool
 	// Stopping runs have been told to stop.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/pkg/batch"
 	"carawayshift.example/carawayshift/pkg/estimate"
+	"carawayshift.example/carawayshift/pkg/probation"
 )
 
 // Timing are the durations that the runners' platform dictates.
@@ -86,7 +87,8 @@
 	cfg  Config
 	wake chan struct{}
 	// took outlives tenures: it is true of the work, whoever leads.
-	took *estimate.Record
+	took      *estimate.Record
+	probation *probation.Record
 
 	mu     sync.Mutex
 	tenure *tenure
@@ -100,7 +102,7 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	return &Dispatcher{cfg: cfg, wake: make(chan struct{}, 1), took: estimate.New()}
+	return &Dispatcher{cfg: cfg, wake: make(chan struct{}, 1), took: estimate.New(), probation: probation.New()}
 }
 
 // Wake makes the next plan at once.
--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -133,8 +133,15 @@
 	return last
 }
 
-// observe learns the run time of a task that ran from its start to its end.
+// observe learns from an end: the run time of a task that ran from its start,
+// and whether the runner fails what others run.
 func (s *session) observe(e carawayshift.EndReport, r *run) {
+	switch e.Ending {
+	case carawayshift.RunFinished:
+		s.t.d.probation.Succeed(s.agent.ID)
+	case carawayshift.RunFailed:
+		s.t.d.probation.Fail(s.agent.ID, e.Task.Batch, time.Now())
+	}
 	if e.Ending == carawayshift.RunFinished && !r.resumed && !r.ordered.IsZero() {
 		s.t.d.took.Observe(s.t.d.cfg.Table.QueueOf(e.Task.Batch), time.Since(r.ordered))
 	}
@@ -163,6 +170,7 @@
 			if r.Checkpoint != "" {
 				known.checkpoint = r.Checkpoint
 			}
+			known.progress.Note(r.Percent, time.Now())
 			continue
 		}
 		s.unexpected(r)
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/progress"
 )
 
 const (
@@ -62,7 +63,8 @@
 	resumed bool
 	need    carawayshift.Step
 	// percent is the pace that was ordered.
-	percent int
+	percent  int
+	progress progress.Track
 }
 
 // fullPace is the pace of a task at its start.
@@ -113,7 +115,7 @@
 // usable returns the runner when it may get new work. It needs t.mu.
 func (s *session) usable(now time.Time) (carawayshift.Agent, bool) {
 	fresh := now.Sub(s.seen) < staleReports*s.t.d.cfg.Timing.Heartbeat
-	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && s.refused == 0
+	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && s.refused == 0 && !s.t.d.probation.Out(s.agent.ID, now)
 }
 
 func (s *session) poke() {
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -120,6 +120,7 @@
 func (t *tenure) load(now time.Time) carawayshift.Load {
 	demands, holdings := t.d.cfg.Table.Survey()
 	for i := range demands {
+		demands[i].Shunned = t.d.probation.FailedOn(demands[i].Batch)
 		demands[i].Expected = t.d.took.Expect(demands[i].Queue.Name, demands[i].Need.Declared)
 	}
 	l := carawayshift.Load{Now: now, Demands: demands, Guarantees: map[string]int{}, Closed: t.d.cfg.Closed()}
@@ -140,21 +141,43 @@
 		}
 	}
 	t.forgetAdvice(l.Demands)
+	t.d.probation.Forget(func(b string) bool { return t.d.cfg.Table.Active(b) })
 	for _, h := range holdings {
 		h.Expected = t.d.took.Expect(h.Queue, h.Need.Declared)
 		h.Stopping = t.stopping[h.Task] == h.Run
+		stalled := t.foretell(&h, now)
 		switch {
 		case h.Stopping:
 		case h.Unwanted:
 			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its batch has ended")
 		case h.Need.Checkpoints && t.leavesBefore(h, now):
 			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its runner leaves before it ends")
+		case stalled && !h.Need.Lasting:
+			t.d.probation.Stall(h.Runner, h.Task.Batch, now)
+			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "it makes no progress")
 		}
 		l.Holdings = append(l.Holdings, h)
 	}
 	return l
 }
 
+// foretell sets the expected end of a run by its progress, and reports whether
+// it stands still. It needs t.mu.
+func (t *tenure) foretell(h *carawayshift.Holding, now time.Time) (stalled bool) {
+	s := t.sessions[h.Runner]
+	if s == nil || s.agent.Life != h.Life {
+		return false
+	}
+	r := s.runs[h.Task]
+	if r == nil || r.run != h.Run {
+		return false
+	}
+	if end, ok := r.progress.End(now); ok && !h.Need.Lasting {
+		h.Ends = end
+	}
+	return r.progress.Stalled(h.Expected)
+}
+
 // leavesBefore tells whether a run's runner is expected to be gone before the
 // run ends; a stop then saves its work. It needs t.mu.
 func (t *tenure) leavesBefore(h carawayshift.Holding, now time.Time) bool {
@@ -162,7 +185,11 @@
 	if s == nil || s.agent.Life != h.Life || !s.agent.Leaving {
 		return false
 	}
-	return h.Ordered.Add(h.Expected).After(s.seen.Add(s.agent.Left)) && now.Sub(h.Ordered) < h.Expected
+	end := h.Ends
+	if end.IsZero() {
+		end = h.Ordered.Add(h.Expected)
+	}
+	return end.After(s.seen.Add(s.agent.Left)) && end.After(now)
 }
 
 // dropLapsed records as lost the runs that were ordered before this tenure and
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -232,6 +232,13 @@
 	return b.State, b.Team, true
 }
 
+// Active reports whether a batch has not ended, or has open runs.
+func (t *Table) Active(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.active[id]
+}
+
 // Waiting counts the batches of a queue of which no task has started, without
 // repeated ones.
 func (t *Table) Waiting(queue string) int {
--- a/pkg/dispatch/pass.go
+++ b/pkg/dispatch/pass.go
@@ -122,6 +122,8 @@
 		return p.load.Now.Add(p.cfg.Stop)
 	case h.Need.Lasting:
 		return p.load.Now.Add(lastingTime)
+	case !h.Ends.IsZero():
+		return h.Ends
 	}
 	expected := h.Ordered.Add(h.Expected)
 	least := p.load.Now.Add(time.Duration(overdue * float64(h.Expected)))
@@ -233,6 +235,9 @@
 
 // fits tells whether a is a better runner for the task than b.
 func fits(d *carawayshift.Demand, need size, a, b *room) bool {
+	if d.Shunned[a.agent.ID] != d.Shunned[b.agent.ID] {
+		return d.Shunned[b.agent.ID]
+	}
 	if a.near(d) != b.near(d) {
 		return a.near(d)
 	}
