dispatcher: rely on the end of a cut-off runner's lease, and on nothing of a reborn one

Ruled out: telling the lives apart by the clock in the answer to a start; an answer that is lost tells nothing.

Change: a lease is not extended while a runner does not answer; the runs of a reborn runner are stopped on its new life before they count as lost. The end of a tenure no longer waits for the term when the host stops.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -130,8 +130,8 @@
 }
 
 // lead runs one tenure until the term ends or a runner has seen a newer one.
-func (d *Dispatcher) lead(ctx context.Context, term uint64) {
-	ctx, cancel := context.WithCancel(ctx)
+func (d *Dispatcher) lead(parent context.Context, term uint64) {
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	t := newTenure(d, term, cancel)
 	d.mu.Lock()
@@ -146,7 +146,7 @@
 	cancel()
 	t.wait()
 	t.log.Info("no longer leading")
-	d.awaitOther(term)
+	d.awaitOther(parent, term)
 }
 
 // watch ends a tenure with its term.
@@ -166,13 +166,16 @@
 }
 
 // awaitOther waits for the end of a term in which a runner refused the token.
-func (d *Dispatcher) awaitOther(term uint64) {
-	for {
+func (d *Dispatcher) awaitOther(ctx context.Context, term uint64) {
+	for ctx.Err() == nil {
 		now, ok, changed := d.cfg.Term()
 		if !ok || now != term {
 			return
 		}
-		<-changed
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/dispatcher/history_test.go
@@ -0,0 +1,155 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+// single is a step of independent tasks, together one of a gang.
+func single(n int) carawayshift.Step {
+	return carawayshift.Step{Count: n, MilliCores: 500, Memory: 100, Accelerators: 1, Declared: 2 * time.Second}
+}
+
+func together(n int) carawayshift.Step {
+	s := single(n)
+	s.Gang = true
+	return s
+}
+
+// play runs fn in paused time with a leader and reporting runners.
+func play(t *testing.T, seed uint64, runners int, fn func(ctx context.Context, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := newRig(t, seed, runners)
+		r.elect(ctx)
+		r.beat(ctx)
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // timers of the stand-ins
+		}()
+		fn(ctx, r)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, f := range r.faults {
+			t.Error(f)
+		}
+	})
+}
+
+func TestBatchRunsOnceFromEndToEnd(t *testing.T) {
+	steps := []struct {
+		name string
+		need carawayshift.Step
+	}{
+		{"one task", single(1)},
+		{"many tasks", single(30)},
+		{"a gang", together(5)},
+	}
+	for _, s := range steps {
+		t.Run(s.name, func(t *testing.T) {
+			play(t, 1, 4, func(_ context.Context, r *rig) {
+				o := NewWithT(t)
+				time.Sleep(2 * time.Second)
+				r.submit("b", s.need)
+				time.Sleep(20 * time.Second)
+				o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+				for task, list := range r.ended {
+					o.Expect(list).To(HaveLen(1), task.String())
+				}
+			})
+		})
+	}
+}
+
+func TestCancelStopsTasks(t *testing.T) {
+	play(t, 1, 4, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		time.Sleep(2 * time.Second)
+		r.submit("b", single(30))
+		time.Sleep(400 * time.Millisecond)
+		r.cancel("b")
+		time.Sleep(time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchCancelled))
+		for task, n := range r.running {
+			o.Expect(n).To(BeZero(), task.String())
+		}
+	})
+}
+
+func TestCrashedRunnerLosesItsTasksToOthers(t *testing.T) {
+	play(t, 1, 3, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		time.Sleep(2 * time.Second)
+		r.submit("b", single(9))
+		time.Sleep(300 * time.Millisecond)
+		r.agents["i-0"].Crash()
+		time.Sleep(15 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
+
+func TestCutOffRunnerIsReplacedOnlyAfterItsLease(t *testing.T) {
+	play(t, 1, 2, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		time.Sleep(2 * time.Second)
+		r.submit("b", single(6))
+		time.Sleep(300 * time.Millisecond)
+		r.net.setCut("i-0", true)
+		time.Sleep(30 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
+
+// Random histories: answers are lost, orders are carried out seconds late,
+// runners crash and are cut off, leaders change. No task may run twice at the
+// same time, and every batch must end.
+func TestHistories(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 5
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			play(t, seed, 5, func(ctx context.Context, r *rig) { history(ctx, t, r) })
+		})
+	}
+}
+
+func history(ctx context.Context, t *testing.T, r *rig) {
+	o := NewWithT(t)
+	time.Sleep(2 * time.Second)
+	r.net.disturb(0.05, 0.05)
+	batches := 0
+	for range 30 {
+		switch x := r.random(); {
+		case x < 0.6:
+			need := single(1 + int(r.random()*6))
+			if r.random() < 0.3 {
+				need = together(2 + int(r.random()*3))
+			}
+			r.submit(fmt.Sprintf("b%d", batches), need)
+			batches++
+		case x < 0.7:
+			r.agents[fmt.Sprintf("i-%d", int(r.random()*5))].Crash()
+		case x < 0.8:
+			id := fmt.Sprintf("i-%d", int(r.random()*5))
+			r.net.setCut(id, true)
+			time.AfterFunc(time.Duration(r.random()*float64(12*time.Second)), func() { r.net.setCut(id, false) })
+		case x < 0.9:
+			r.elect(ctx)
+		}
+		time.Sleep(time.Duration(r.random() * float64(1500*time.Millisecond)))
+	}
+	r.net.disturb(0, 0)
+	time.Sleep(90 * time.Second)
+	for i := range batches {
+		o.Expect(r.state(fmt.Sprintf("b%d", i))).To(Equal(carawayshift.BatchFinished), "batch %d", i)
+	}
+}
--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -68,7 +68,7 @@
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	s.acked = max(s.acked, seen)
-	s.refused = 0
+	s.refused, s.unanswered = 0, false
 	s.noteClock(st.Clock)
 	return st, nil
 }
@@ -81,6 +81,7 @@
 	}
 	s.log.WithError(err).WithField("event", "hold failed").Warn("runner did not answer")
 	s.t.mu.Lock()
+	s.unanswered = true
 	lapsed := s.clockLow(time.Now()) > s.until+s.t.d.cfg.Timing.Stop
 	s.t.mu.Unlock()
 	if lapsed {
@@ -94,7 +95,7 @@
 // are lost, and what should not run is stopped.
 func (s *session) heard(st carawayshift.AgentStatus, sent time.Time) {
 	if st.Life != 0 && s.agent.Life != 0 && st.Life != s.agent.Life {
-		s.t.drop(s, "the runner started again")
+		s.reborn(st.Life)
 		return
 	}
 	wait := s.takeEnds(st.Ended)
--- /dev/null
+++ b/internal/dispatcher/rig_test.go
@@ -0,0 +1,346 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/standin/agent"
+	"carawayshift.example/carawayshift/internal/state"
+	"carawayshift.example/carawayshift/pkg/dispatch"
+)
+
+// rig plays several leaders, one after the other, against stand-in runners.
+// All of them share one log, as replicas of it would.
+type rig struct {
+	t       *testing.T
+	rng     *rand.Rand
+	machine *state.Machine
+	agents  map[string]*agent.Agent
+	net     *network
+
+	mu      sync.Mutex
+	index   uint64
+	term    uint64
+	changed chan struct{}
+	running map[carawayshift.TaskName]int
+	ended   map[carawayshift.TaskName][]carawayshift.RunEnding
+	faults  []string
+	need    map[string]carawayshift.Step
+	leaders []*Dispatcher
+	// trace holds the log lines of all leaders and of the runners.
+	trace trace
+}
+
+// trace keeps log lines, to print those of a task that ran twice.
+type trace struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (t *trace) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lines = append(t.lines, string(b))
+	return len(b), nil
+}
+
+// about returns the lines that name a task, and those of no task.
+func (t *trace) about(task string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out strings.Builder
+	for _, l := range t.lines {
+		if strings.Contains(l, task) || !strings.Contains(l, `"task"`) {
+			out.WriteString(l)
+		}
+	}
+	return out.String()
+}
+
+// network carries orders to the runners; it may lose answers, deliver orders
+// late, and cut runners off.
+type network struct {
+	rig *rig
+	// lose and late are the shares of orders whose answer is lost, and that
+	// are carried out later besides.
+	lose, late float64
+	cut        map[string]bool
+}
+
+var errSilent = errors.New("no answer")
+
+func newRig(t *testing.T, seed uint64, runners int) *rig {
+	r := &rig{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), machine: state.New(nil), agents: map[string]*agent.Agent{},
+		changed: make(chan struct{}), running: map[carawayshift.TaskName]int{},
+		ended: map[carawayshift.TaskName][]carawayshift.RunEnding{}, need: map[string]carawayshift.Step{},
+	}
+	r.net = &network{rig: r, cut: map[string]bool{}}
+	gangs := agent.NewGangs()
+	for i := range runners {
+		id := fmt.Sprintf("i-%d", i)
+		r.agents[id] = agent.New(agent.Config{
+			Agent: carawayshift.Agent{
+				ID: id, Life: 1, Service: "fit", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i%2),
+				Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
+			},
+			Work: r.work, Gang: r.gangOf, Gangs: gangs, Begun: r.begun, Over: r.over,
+			Stop: 300 * time.Millisecond, Alone: 3 * time.Second, Lease: rigTiming.Lease,
+		})
+	}
+	return r
+}
+
+var rigTiming = Timing{
+	Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Keep: time.Hour,
+	Stop: 400 * time.Millisecond, Notice: 5 * time.Second, Upkeep: 2 * time.Second,
+}
+
+func (r *rig) random() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Float64()
+}
+
+func (r *rig) work(carawayshift.TaskName, int) (time.Duration, bool) {
+	return time.Duration(500+r.random()*2500) * time.Millisecond, false
+}
+
+func (r *rig) gangOf(task carawayshift.TaskName) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.need[task.Batch]; s.Gang {
+		return s.Count
+	}
+	return 0
+}
+
+// begun checks that no other run of the task is under way anywhere.
+func (r *rig) begun(task carawayshift.TaskName, run int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[task]++
+	fmt.Fprintf(&r.trace, "%s runner began %s run %d, now %d\n", time.Now().Format("05.000"), task, run, r.running[task])
+	if r.running[task] > 1 {
+		r.faults = append(r.faults, fmt.Sprintf("run %d of %s began while another one ran:\n%s", run, task, r.trace.about(task.String())))
+	}
+}
+
+func (r *rig) over(task carawayshift.TaskName, _ int, how carawayshift.RunEnding) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[task]--
+	fmt.Fprintf(&r.trace, "%s runner ended %s: %s, now %d\n", time.Now().Format("05.000"), task, how, r.running[task])
+	r.ended[task] = append(r.ended[task], how)
+}
+
+// Propose implements carawayshift.Log for one leader.
+type leaderLog struct {
+	r    *rig
+	term uint64
+}
+
+func (l leaderLog) Propose(_ context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
+	time.Sleep(15 * time.Millisecond)
+	l.r.mu.Lock()
+	defer l.r.mu.Unlock()
+	var a carawayshift.Answer
+	if l.term != l.r.term {
+		return a, carawayshift.NewError(carawayshift.NotRun, "no longer the leader", "ask the leader")
+	}
+	return a, l.r.applyLocked(c, &a)
+}
+
+func (l leaderLog) Barrier(context.Context) (uint64, error) { return 0, nil }
+func (l leaderLog) Leader() (string, uint64)                { return "", l.term }
+
+func (r *rig) applyLocked(c carawayshift.Command, a *carawayshift.Answer) error {
+	r.index++
+	b, err := carawayshift.Encode(c)
+	if err != nil {
+		return err
+	}
+	return carawayshift.Decode(r.machine.Apply(r.index, b), a)
+}
+
+// elect makes a new leader; the one before notices after a while.
+func (r *rig) elect(ctx context.Context) {
+	r.mu.Lock()
+	r.term++
+	term := r.term
+	old := r.changed
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	time.AfterFunc(200*time.Millisecond, func() { close(old) })
+	log := logrus.New()
+	log.SetOutput(&r.trace)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "05.000"})
+	d := New(Config{
+		Host: fmt.Sprintf("c%d", term), Log: leaderLog{r, term}, Term: func() (uint64, bool, <-chan struct{}) { return r.leads(term) },
+		Table: r.machine.Batches(), Closed: func() map[string]bool { return nil },
+		Planner: dispatch.New(dispatch.Config{}), Client: r.net, Timing: rigTiming, Logger: log,
+	})
+	r.mu.Lock()
+	r.leaders = append(r.leaders, d)
+	r.mu.Unlock()
+	go func() { _ = d.Run(ctx) }()
+}
+
+func (r *rig) leads(term uint64) (uint64, bool, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if term == r.term {
+		return term, true, r.changed
+	}
+	never := make(chan struct{})
+	return 0, false, never
+}
+
+func (r *rig) leader() *Dispatcher {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.leaders) == 0 {
+		return nil
+	}
+	return r.leaders[len(r.leaders)-1]
+}
+
+// beat sends the runners' reports until ctx ends.
+func (r *rig) beat(ctx context.Context) {
+	for id := range r.agents {
+		go func() {
+			for seq := uint64(1); ctx.Err() == nil; seq++ {
+				if d := r.leader(); d != nil && !r.net.isCut(id) {
+					a := r.agents[id].Report()
+					a.Sequence = seq
+					_ = d.Report(a)
+				}
+				sleep(ctx, rigTiming.Heartbeat)
+			}
+		}()
+	}
+}
+
+func (r *rig) submit(id string, need carawayshift.Step) {
+	r.mu.Lock()
+	r.need[id] = need
+	var a carawayshift.Answer
+	err := r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
+		Submit: &carawayshift.Batch{
+			ID: id, Team: "carnival", Steps: []carawayshift.Step{need},
+			Queue: carawayshift.Queue{Name: "q", Service: "fit", Priority: 1, Attempts: 3, Stretch: 3},
+		},
+	}}, &a)
+	r.mu.Unlock()
+	if err != nil {
+		r.t.Error(err)
+	}
+	if d := r.leader(); d != nil {
+		d.Wake()
+	}
+}
+
+func (r *rig) cancel(id string) {
+	r.mu.Lock()
+	var a carawayshift.Answer
+	err := r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{Cancel: id}}, &a)
+	r.mu.Unlock()
+	if err != nil {
+		r.t.Error(err)
+	}
+	r.leader().Wake()
+}
+
+func (r *rig) state(id string) carawayshift.BatchState {
+	s, _, _ := r.machine.Batches().State(id)
+	return s
+}
+
+func (n *network) disturb(lose, late float64) {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	n.lose, n.late = lose, late
+}
+
+func (n *network) isCut(id string) bool {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	return n.cut[id]
+}
+
+func (n *network) setCut(id string, cut bool) {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	n.cut[id] = cut
+}
+
+// carry delivers an order, or loses its answer, or delivers it late.
+func (n *network) carry(ctx context.Context, id string, order func() error) error {
+	if n.isCut(id) {
+		<-ctx.Done()
+		return errSilent
+	}
+	time.Sleep(5 * time.Millisecond)
+	n.rig.mu.Lock()
+	late, lose := n.late, n.lose
+	n.rig.mu.Unlock()
+	switch x := n.rig.random(); {
+	case x < late:
+		// The runner itself carries the order out late, so that it dies with
+		// the runner's life.
+		wait := time.Duration(2000+n.rig.random()*8000) * time.Millisecond
+		a := n.rig.agents[id]
+		life := a.Report().Life
+		time.AfterFunc(wait, func() {
+			if a.Report().Life == life {
+				_ = order()
+			}
+		})
+		<-ctx.Done()
+		return errSilent
+	case x < late+lose:
+		_ = order()
+		<-ctx.Done()
+		return errSilent
+	}
+	return order()
+}
+
+func (n *network) Start(ctx context.Context, o carawayshift.AgentOrder, s carawayshift.RunOrder) (clock time.Duration, err error) {
+	err = n.carry(ctx, o.Agent.ID, func() error {
+		var err error
+		clock, err = n.rig.agents[o.Agent.ID].Start(context.Background(), o, s)
+		return err
+	})
+	return clock, err
+}
+
+func (n *network) Stop(ctx context.Context, o carawayshift.AgentOrder, task carawayshift.TaskName, run int) (clock time.Duration, err error) {
+	err = n.carry(ctx, o.Agent.ID, func() error {
+		var err error
+		clock, err = n.rig.agents[o.Agent.ID].Stop(context.Background(), o, task, run)
+		return err
+	})
+	return clock, err
+}
+
+func (n *network) Hold(ctx context.Context, o carawayshift.AgentOrder, seen uint64, until, wait time.Duration) (st carawayshift.AgentStatus, err error) {
+	if n.isCut(o.Agent.ID) {
+		<-ctx.Done()
+		return st, errSilent
+	}
+	return n.rig.agents[o.Agent.ID].Hold(ctx, o, seen, until, wait)
+}
+
+func (n *network) Pace(ctx context.Context, o carawayshift.AgentOrder, task carawayshift.TaskName, run, percent int) error {
+	return n.rig.agents[o.Agent.ID].Pace(ctx, o, task, run, percent)
+}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -38,7 +38,9 @@
 	clockAt time.Time
 	// until is the latest end of a lease that was sent.
 	until time.Duration
-	runs  map[carawayshift.TaskName]*run
+	// unanswered says that the last hold got no answer.
+	unanswered bool
+	runs       map[carawayshift.TaskName]*run
 	// listed is the highest number of an end that was heard of, recorded the
 	// highest one that is committed, acked the highest one acknowledged.
 	listed, recorded, acked uint64
@@ -81,6 +83,19 @@
 	return s
 }
 
+// reborn replaces the session by one of the life that answered a hold. What
+// that life can run is known with its first report.
+func (s *session) reborn(life int64) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	if s.t.sessions[s.agent.ID] != s {
+		return
+	}
+	a := s.agent
+	a.Life, a.Sequence, a.Clock = life, 0, 0
+	s.t.rebirth(s, a).seen = time.Time{}
+}
+
 // update takes a heartbeat of this life. It needs t.mu.
 func (s *session) update(a carawayshift.Agent) {
 	if a.Sequence < s.agent.Sequence {
@@ -105,8 +120,13 @@
 	return s.clock + time.Duration(float64(now.Sub(s.clockAt))*(1-clockDrift))
 }
 
-// lease returns the end of a new lease on the runner's clock. It needs t.mu.
+// lease returns the end of a new lease on the runner's clock. While the runner
+// does not answer, the lease that it may have is not extended: otherwise its
+// end could never be relied on. It needs t.mu.
 func (s *session) lease() time.Duration {
+	if s.unanswered && s.until > 0 {
+		return s.until
+	}
 	until := s.clock + time.Since(s.clockAt) + s.t.d.cfg.Timing.Lease
 	s.until = max(s.until, until)
 	return until
@@ -115,7 +135,7 @@
 // usable returns the runner when it may get new work. It needs t.mu.
 func (s *session) usable(now time.Time) (carawayshift.Agent, bool) {
 	fresh := now.Sub(s.seen) < staleReports*s.t.d.cfg.Timing.Heartbeat
-	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && s.refused == 0 && !s.t.d.probation.Out(s.agent.ID, now)
+	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && s.refused == 0 && !s.unanswered && !s.t.d.probation.Out(s.agent.ID, now)
 }
 
 func (s *session) poke() {
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -149,12 +149,12 @@
 		switch {
 		case h.Stopping:
 		case h.Unwanted:
-			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its batch has ended")
+			t.stopLocked(h.Task, h.Run, h.Runner, "its batch has ended")
 		case h.Need.Checkpoints && t.leavesBefore(h, now):
-			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "its runner leaves before it ends")
+			t.stopLocked(h.Task, h.Run, h.Runner, "its runner leaves before it ends")
 		case stalled && !h.Need.Lasting:
 			t.d.probation.Stall(h.Runner, h.Task.Batch, now)
-			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, "it makes no progress")
+			t.stopLocked(h.Task, h.Run, h.Runner, "it makes no progress")
 		}
 		l.Holdings = append(l.Holdings, h)
 	}
@@ -165,7 +165,7 @@
 // it stands still. It needs t.mu.
 func (t *tenure) foretell(h *carawayshift.Holding, now time.Time) (stalled bool) {
 	s := t.sessions[h.Runner]
-	if s == nil || s.agent.Life != h.Life {
+	if s == nil {
 		return false
 	}
 	r := s.runs[h.Task]
@@ -182,7 +182,7 @@
 // run ends; a stop then saves its work. It needs t.mu.
 func (t *tenure) leavesBefore(h carawayshift.Holding, now time.Time) bool {
 	s := t.sessions[h.Runner]
-	if s == nil || s.agent.Life != h.Life || !s.agent.Leaving {
+	if s == nil || !s.agent.Leaving {
 		return false
 	}
 	end := h.Ends
@@ -225,10 +225,6 @@
 		return false
 	}
 	t.sent[h.Task] = h.Run
-	if s.agent.Life != h.Life {
-		t.queueEnd(carawayshift.RunEnd{Task: h.Task, Run: h.Run, Ending: carawayshift.RunLost, Checkpoint: h.Checkpoint}, nil)
-		return true
-	}
 	s.adopt(h)
 	return true
 }
@@ -275,17 +271,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range stops {
-		p := t.sessions[s.Runner]
-		if p != nil {
-			t.stopLocked(s.Task, s.Run, s.Runner, p.agent.Life, "preempted for "+s.For)
-		}
+		t.stopLocked(s.Task, s.Run, s.Runner, "preempted for "+s.For)
 	}
 }
 
 // stopLocked tells a run's session to stop it, once. It needs t.mu.
-func (t *tenure) stopLocked(task carawayshift.TaskName, run int, runner string, life int64, why string) {
+func (t *tenure) stopLocked(task carawayshift.TaskName, run int, runner, why string) {
 	s := t.sessions[runner]
-	if s == nil || s.agent.Life != life || t.stopping[task] == run {
+	if s == nil || t.stopping[task] == run {
 		return
 	}
 	t.stopping[task] = run
@@ -303,7 +296,7 @@
 	for _, h := range holdings {
 		same := h.Task.Batch == task.Batch && h.Task.Occurrence == task.Occurrence && h.Task.Step == task.Step
 		if same && h.Need.Gang && h.Task.Index != task.Index {
-			t.stopLocked(h.Task, h.Run, h.Runner, h.Life, why)
+			t.stopLocked(h.Task, h.Run, h.Runner, why)
 		}
 	}
 }
@@ -390,19 +383,39 @@
 	if s != nil && a.Life < s.agent.Life {
 		return
 	}
-	if s != nil {
-		s.close("the runner started again")
-	}
 	if !t.takeAddress(a) {
 		return
 	}
-	t.sessions[a.ID] = newSession(t, a)
+	if s != nil {
+		t.rebirth(s, a)
+	} else {
+		t.sessions[a.ID] = newSession(t, a)
+	}
 	t.log.WithFields(logrus.Fields{
 		"event": "runner new", "runner": a.ID, "life": a.Life, "zone": a.Zone, "rack": a.Rack, "address": a.Address,
 	}).Info("runner reported for the first time")
 	t.d.Wake()
 }
 
+// rebirth replaces the session of a runner that started again under its id. An
+// order that was meant for the life before may have reached this one, or still
+// will, so that the runs are stopped here before they count as lost. It needs
+// t.mu.
+func (t *tenure) rebirth(old *session, a carawayshift.Agent) *session {
+	old.log.WithFields(logrus.Fields{"event": "runner reborn", "life": a.Life, "runs": len(old.runs)}).Info("runner started again")
+	old.cancel()
+	s := newSession(t, a)
+	t.sessions[a.ID] = s
+	for task, r := range old.runs {
+		if r.ended {
+			continue
+		}
+		s.runs[task] = &run{run: r.run, checkpoint: r.checkpoint, need: r.need, resumed: true}
+		s.stop(task, r.run)
+	}
+	return s
+}
+
 // takeAddress ends the sessions of older runners at the same address. It
 // returns false when the address belongs to a newer runner. It needs t.mu.
 func (t *tenure) takeAddress(a carawayshift.Agent) bool {
--- a/pkg/dispatch/pass.go
+++ b/pkg/dispatch/pass.go
@@ -19,11 +19,6 @@
 	out   carawayshift.Dispatch
 }
 
-type agentKey struct {
-	id   string
-	life int64
-}
-
 // gangKey names the open runs of one gang.
 type gangKey struct {
 	batch            string
@@ -45,20 +40,22 @@
 
 func newPass(cfg Config, l carawayshift.Load) *pass {
 	p := &pass{cfg: cfg, load: l, needs: map[string]int{}}
-	rooms := map[agentKey]*room{}
+	// A run is on the runner with its id, whichever life that is: an order can
+	// reach the next one.
+	rooms := map[string]*room{}
 	for _, a := range l.Agents {
 		if a.Leaving || l.Closed[a.Zone] || l.Emptying[a.Machine] {
 			continue
 		}
 		total := size{a.MilliCores, a.Memory, a.Accelerators}
 		r := &room{agent: a, total: total, free: total, idle: total}
-		rooms[agentKey{a.ID, a.Life}] = r
+		rooms[a.ID] = r
 		p.rooms = append(p.rooms, r)
 	}
 	p.sumNeeds()
 	gangs := map[gangKey]*victim{}
 	for _, h := range l.Holdings {
-		if r := rooms[agentKey{h.Runner, h.Life}]; r != nil {
+		if r := rooms[h.Runner]; r != nil {
 			p.occupy(r, h, gangs)
 		}
 	}
@@ -306,7 +303,7 @@
 	for _, h := range v.runs {
 		p.out.Stops = append(p.out.Stops, carawayshift.DispatchStop{Task: h.Task, Run: h.Run, Runner: h.Runner, For: d.Batch})
 		for _, r := range p.rooms {
-			if r.agent.ID == h.Runner && r.agent.Life == h.Life {
+			if r.agent.ID == h.Runner {
 				r.releaseBy(by, h, p)
 			}
 		}
--- a/pkg/dispatch/room.go
+++ b/pkg/dispatch/room.go
@@ -159,7 +159,7 @@
 func (r *room) share(v *victim) size {
 	var n size
 	for _, h := range v.runs {
-		if h.Runner == r.agent.ID && h.Life == r.agent.Life {
+		if h.Runner == r.agent.ID {
 			n = n.plus(sizeOf(h.Need))
 		}
 	}
