--- /dev/null
+++ b/pkg/batch/table_test.go
@@ -0,0 +1,304 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/batch"
+)
+
+var noon = time.Date(2026, 8, 1, 12, 0, 0, 0, time.UTC)
+
+func queue(attempts int) carawayshift.Queue {
+	return carawayshift.Queue{Name: "q", Service: "fit", Attempts: attempts, Stretch: 2, Latency: time.Second}
+}
+
+func task(step, index int) carawayshift.TaskName {
+	return carawayshift.TaskName{Batch: "b", Step: step, Index: index}
+}
+
+// change is one step of a session with a table.
+type change struct {
+	starts []carawayshift.RunStart
+	ends   []carawayshift.RunEnd
+	cancel bool
+	want   carawayshift.BatchState
+}
+
+func start(n carawayshift.TaskName, run int) []carawayshift.RunStart {
+	return []carawayshift.RunStart{{Task: n, Run: run, Runner: "i"}}
+}
+
+func end(n carawayshift.TaskName, run int, how carawayshift.RunEnding) []carawayshift.RunEnd {
+	return []carawayshift.RunEnd{{Task: n, Run: run, Ending: how}}
+}
+
+func TestLifeOfBatch(t *testing.T) {
+	two := []carawayshift.Step{{Count: 1}, {Count: 1, After: []int{0}}}
+	gang := []carawayshift.Step{{Count: 2, Gang: true}}
+	lasting := []carawayshift.Step{{Count: 1, Lasting: true}}
+	tests := []struct {
+		name    string
+		steps   []carawayshift.Step
+		changes []change
+	}{
+		{"steps in their order", two, []change{
+			{starts: start(task(0, 0), 1), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 1, carawayshift.RunFinished), want: carawayshift.BatchRunning},
+			{starts: start(task(1, 0), 1), want: carawayshift.BatchRunning},
+			{ends: end(task(1, 0), 1, carawayshift.RunFinished), want: carawayshift.BatchFinished},
+		}},
+		{"fails after its attempts", two, []change{
+			{starts: start(task(0, 0), 1), ends: nil, want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 1, carawayshift.RunFailed), want: carawayshift.BatchRunning},
+			{starts: start(task(0, 0), 2), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 2, carawayshift.RunFailed), want: carawayshift.BatchFailed},
+		}},
+		{"stops and lapses are no attempts", two, []change{
+			{starts: start(task(0, 0), 1), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 1, carawayshift.RunStopped), want: carawayshift.BatchRunning},
+			{starts: start(task(0, 0), 2), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 2, carawayshift.RunLapsed), want: carawayshift.BatchRunning},
+			{starts: start(task(0, 0), 3), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 3, carawayshift.RunLost), want: carawayshift.BatchRunning},
+		}},
+		{"one end stands for a gang", gang, []change{
+			{starts: append(start(task(0, 0), 1), start(task(0, 1), 1)...), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 1), 1, carawayshift.RunFinished), want: carawayshift.BatchFinished},
+		}},
+		{"a gang's run counts once", gang, []change{
+			{starts: append(start(task(0, 0), 1), start(task(0, 1), 1)...), want: carawayshift.BatchRunning},
+			{ends: append(end(task(0, 0), 1, carawayshift.RunFailed), end(task(0, 1), 1, carawayshift.RunFailed)...), want: carawayshift.BatchRunning},
+		}},
+		{"lasting tasks never finish", lasting, []change{
+			{starts: start(task(0, 0), 1), want: carawayshift.BatchRunning},
+			{ends: end(task(0, 0), 1, carawayshift.RunFinished), want: carawayshift.BatchRunning},
+			{starts: start(task(0, 0), 2), want: carawayshift.BatchRunning},
+			{cancel: true, want: carawayshift.BatchCancelled},
+		}},
+		{"an end counts once", two, []change{
+			{starts: start(task(0, 0), 1), want: carawayshift.BatchRunning},
+			{ends: append(end(task(0, 0), 1, carawayshift.RunFailed), end(task(0, 0), 1, carawayshift.RunFailed)...), want: carawayshift.BatchRunning},
+		}},
+		{"a cancelled batch starts nothing", two, []change{
+			{cancel: true, want: carawayshift.BatchCancelled},
+			{starts: start(task(0, 0), 1), want: carawayshift.BatchCancelled},
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := NewWithT(t)
+			b := batch.New()
+			o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: "b", Queue: queue(2), Steps: tt.steps}})).To(Succeed())
+			for i, c := range tt.changes {
+				x := &carawayshift.BatchChange{Starts: c.starts, Ends: c.ends}
+				if c.cancel {
+					x.Cancel = "b"
+				}
+				o.Expect(b.Apply(noon, x)).To(Succeed())
+				state, _, ok := b.State("b")
+				o.Expect(ok).To(BeTrue())
+				o.Expect(state).To(Equal(c.want), "change %d", i)
+			}
+		})
+	}
+}
+
+func TestSecondStartIsPassedOver(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: "b", Queue: queue(2), Steps: []carawayshift.Step{{Count: 1}}}})).To(Succeed())
+	first := carawayshift.RunStart{Task: task(0, 0), Run: 1, Runner: "i-1"}
+	second := carawayshift.RunStart{Task: task(0, 0), Run: 2, Runner: "i-2"}
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Starts: []carawayshift.RunStart{first, second}})).To(Succeed())
+	o.Expect(b.Accepted(first)).To(BeTrue())
+	o.Expect(b.Accepted(second)).To(BeFalse())
+}
+
+func TestRepeatedBatchOpensItsOccurrences(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{
+		ID: "b", Queue: queue(2), Steps: []carawayshift.Step{{Count: 1}}, Repeat: 2, First: noon.Add(time.Second), Interval: time.Minute,
+	}})).To(Succeed())
+	due, next := b.DueBy(noon)
+	o.Expect(due).To(BeEmpty())
+	o.Expect(next).To(Equal(noon.Add(time.Second)))
+	due, _ = b.DueBy(noon.Add(2 * time.Second))
+	o.Expect(due).To(Equal([]carawayshift.Due{{Batch: "b", Occurrence: 0}}))
+	o.Expect(b.Waiting("q")).To(BeZero(), "repeated batches don't count as waiting")
+	for n := range 2 {
+		name := carawayshift.TaskName{Batch: "b", Occurrence: n}
+		o.Expect(b.Apply(noon, &carawayshift.BatchChange{Due: []carawayshift.Due{{Batch: "b", Occurrence: n}}, Starts: start(name, 1)})).To(Succeed())
+		o.Expect(b.Apply(noon, &carawayshift.BatchChange{Ends: end(name, 1, carawayshift.RunFinished)})).To(Succeed())
+	}
+	state, _, _ := b.State("b")
+	o.Expect(state).To(Equal(carawayshift.BatchFinished))
+}
+
+func TestForgetKeepsBatchesForAWhile(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: "b", Queue: queue(2), Steps: []carawayshift.Step{{Count: 1}}}, Cancel: "b"})).To(Succeed())
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Forget: noon})).To(Succeed())
+	_, _, ok := b.State("b")
+	o.Expect(ok).To(BeTrue())
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Forget: noon.Add(time.Second)})).To(Succeed())
+	_, _, ok = b.State("b")
+	o.Expect(ok).To(BeFalse())
+	o.Expect(carawayshift.KindOf(b.Apply(noon, &carawayshift.BatchChange{Cancel: "b"}))).To(Equal(carawayshift.Gone))
+}
+
+func TestResolve(t *testing.T) {
+	b := batch.New()
+	c := carawayshift.Catalog{
+		Number:   1,
+		Services: []carawayshift.Service{{Name: "fit"}},
+		Queues: []carawayshift.Queue{
+			{Name: "short", Host: "Shop.example", Prefix: "/a/", Service: "fit", Timeout: 1},
+			{Name: "long", Host: "shop.example", Prefix: "/a/b/", Service: "fit", Timeout: 1, Public: true},
+		},
+		Members: []carawayshift.Membership{{Team: "carnival", Keys: []string{"k"}}},
+	}
+	if err := b.Apply(noon, &carawayshift.BatchChange{Catalog: &c}); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		at    carawayshift.Address
+		queue string
+		rest  string
+		kind  carawayshift.Kind
+	}{
+		{carawayshift.Address{Host: "shop.example", Path: "/a/x", Key: "k"}, "short", "x", ""},
+		{carawayshift.Address{Host: "shop.example:8080", Path: "/a/b/x", Key: "k"}, "long", "x", ""},
+		{carawayshift.Address{Host: "shop.example", Path: "/a/b/x"}, "long", "x", ""},
+		{carawayshift.Address{Host: "shop.example", Path: "/a/x"}, "", "", carawayshift.Unauthorized},
+		{carawayshift.Address{Host: "shop.example", Path: "/a/x", Key: "other"}, "", "", carawayshift.Unauthorized},
+		{carawayshift.Address{Host: "shop.example", Path: "/c/x", Key: "k"}, "", "", carawayshift.NotFound},
+		{carawayshift.Address{Host: "else.example", Path: "/a/x", Key: "k"}, "", "", carawayshift.NotFound},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.at), func(t *testing.T) {
+			o := NewWithT(t)
+			q, rest, _, err := b.Resolve(tt.at)
+			o.Expect(carawayshift.KindOf(err)).To(Equal(tt.kind))
+			if tt.kind == "" {
+				o.Expect(q.Name).To(Equal(tt.queue))
+				o.Expect(rest).To(Equal(tt.rest))
+			}
+		})
+	}
+}
+
+func TestCatalogCheck(t *testing.T) {
+	good := func() carawayshift.Catalog {
+		return carawayshift.Catalog{
+			Number:   3,
+			Services: []carawayshift.Service{{Name: "fit"}},
+			Queues:   []carawayshift.Queue{{Name: "q", Host: "h", Prefix: "/a/", Service: "fit", Timeout: 1}},
+			Members:  []carawayshift.Membership{{Team: "x", Keys: []string{"k"}}},
+		}
+	}
+	tests := []struct {
+		name  string
+		spoil func(*carawayshift.Catalog)
+	}{
+		{"unknown service", func(c *carawayshift.Catalog) { c.Queues[0].Service = "other" }},
+		{"no timeout", func(c *carawayshift.Catalog) { c.Queues[0].Timeout = 0 }},
+		{"same place", func(c *carawayshift.Catalog) {
+			q := c.Queues[0]
+			q.Name, q.Host = "q2", "H"
+			c.Queues = append(c.Queues, q)
+		}},
+		{"shared key", func(c *carawayshift.Catalog) {
+			c.Members = append(c.Members, carawayshift.Membership{Team: "y", Keys: []string{"k"}})
+		}},
+		{"no host", func(c *carawayshift.Catalog) { c.Queues[0].Host = "" }},
+		{"service twice", func(c *carawayshift.Catalog) { c.Services = append(c.Services, c.Services[0]) }},
+	}
+	o := NewWithT(t)
+	o.Expect(good().Check()).To(Succeed())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := NewWithT(t)
+			c := good()
+			tt.spoil(&c)
+			b := batch.New()
+			o.Expect(carawayshift.KindOf(b.Apply(noon, &carawayshift.BatchChange{Catalog: &c}))).To(Equal(carawayshift.Malformed))
+			o.Expect(b.Catalog().Number).To(BeZero(), "what is refused is not in force")
+		})
+	}
+}
+
+// Random changes: a task never has two open runs, equal changes give equal
+// tables, and a restored table goes on like the one it was taken from.
+func TestRandomChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := batch.New(), batch.New()
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			c := drawChange(t)
+			errA, errB := a.Apply(noon, c), b.Apply(noon, c)
+			if carawayshift.KindOf(errA) != carawayshift.KindOf(errB) {
+				t.Fatalf("%v and %v", errA, errB)
+			}
+			if rapid.Bool().Draw(t, "restore") {
+				b = restored(t, b)
+			}
+			checkHoldings(t, a)
+		}
+		if x, y := encode(t, a), encode(t, b); string(x) != string(y) {
+			t.Fatalf("tables differ:\n%x\n%x", x, y)
+		}
+	})
+}
+
+func drawChange(t *rapid.T) *carawayshift.BatchChange {
+	id := rapid.SampledFrom([]string{"b", "c"}).Draw(t, "batch")
+	n := carawayshift.TaskName{Batch: id, Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 2).Draw(t, "index")}
+	run := rapid.IntRange(1, 4).Draw(t, "run")
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		steps := []carawayshift.Step{{Count: 3, Gang: rapid.Bool().Draw(t, "gang")}, {Count: 2, After: []int{0}}}
+		return &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: id, Queue: queue(2), Steps: steps}}
+	case 1:
+		return &carawayshift.BatchChange{Cancel: id}
+	case 2, 3:
+		return &carawayshift.BatchChange{Starts: []carawayshift.RunStart{{Task: n, Run: run, Runner: fmt.Sprint("i", run)}}}
+	}
+	how := rapid.SampledFrom([]carawayshift.RunEnding{carawayshift.RunFinished, carawayshift.RunFailed, carawayshift.RunLost}).Draw(t, "how")
+	return &carawayshift.BatchChange{Ends: end(n, run, how)}
+}
+
+func checkHoldings(t *rapid.T, b *batch.Table) {
+	_, holdings := b.Survey()
+	open := map[carawayshift.TaskName]bool{}
+	for _, h := range holdings {
+		if open[h.Task] {
+			t.Fatalf("%s has two open runs", h.Task)
+		}
+		open[h.Task] = true
+	}
+}
+
+func encode(t *rapid.T, b *batch.Table) []byte {
+	x, err := carawayshift.Encode(b.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+func restored(t *rapid.T, b *batch.Table) *batch.Table {
+	var s batch.Snapshot
+	if err := carawayshift.Decode(encode(t, b), &s); err != nil {
+		t.Fatal(err)
+	}
+	out := batch.New()
+	out.Restore(s)
+	return out
+}
--- /dev/null
+++ b/pkg/dispatch/dispatcher_test.go
@@ -0,0 +1,217 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/dispatch"
+)
+
+var noon = time.Date(2026, 8, 1, 12, 0, 0, 0, time.UTC)
+
+func runner(id, rack string) carawayshift.Agent {
+	return carawayshift.Agent{
+		ID: id, Life: 1, Service: "fit", Zone: "z", Rack: rack, Labels: []string{"a", rack}, Machine: "m-" + id,
+		MilliCores: 8000, Memory: 8000, Accelerators: 8,
+	}
+}
+
+func demand(id string, priority, tasks, accelerators int) carawayshift.Demand {
+	d := carawayshift.Demand{
+		Batch: id, Team: "carnival", Accepted: noon, Due: noon.Add(time.Minute), Expected: 2 * time.Second, Present: map[string]int{},
+		Queue: carawayshift.Queue{Name: id, Service: "fit", Priority: priority, Stretch: 1.5, Latency: 500 * time.Millisecond},
+		Need:  carawayshift.Step{Count: tasks, Accelerators: accelerators, MilliCores: 1000, Memory: 100, Declared: 2 * time.Second},
+	}
+	for i := range tasks {
+		d.Indexes, d.Runs = append(d.Indexes, i), append(d.Runs, 1)
+	}
+	return d
+}
+
+func holding(id, on string, priority, accelerators int, ran time.Duration) carawayshift.Holding {
+	return carawayshift.Holding{
+		Task: carawayshift.TaskName{Batch: id}, Run: 1, Runner: on, Life: 1, Team: "other", Priority: priority,
+		Need:    carawayshift.Step{Count: 1, Accelerators: accelerators, MilliCores: 1000, Memory: 100},
+		Ordered: noon.Add(-ran), Expected: time.Minute,
+	}
+}
+
+func TestDispatch(t *testing.T) {
+	tests := []struct {
+		name string
+		load func() carawayshift.Load
+		// starts lists "batch@runner" in the order of the decision.
+		starts []string
+		stops  []string
+	}{
+		{"urgent before the others", func() carawayshift.Load {
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1")}, Demands: []carawayshift.Demand{demand("slow", 2, 1, 8), demand("fast", 0, 1, 8)}}
+		}, []string{"fast@i1"}, nil},
+		{"the runner that is filled best", func() carawayshift.Load {
+			return carawayshift.Load{
+				Agents:   []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")},
+				Holdings: []carawayshift.Holding{holding("x", "i2", 1, 6, time.Second)},
+				Demands:  []carawayshift.Demand{demand("b", 1, 1, 2)},
+			}
+		}, []string{"b@i2"}, nil},
+		{"no start in a closed zone, on a leaving runner, or on a machine in upkeep", func() carawayshift.Load {
+			leaving, other := runner("i1", "r1"), runner("i2", "r1")
+			leaving.Leaving, other.Zone = true, "out"
+			return carawayshift.Load{
+				Agents: []carawayshift.Agent{leaving, other, runner("i3", "r1")}, Closed: map[string]bool{"out": true},
+				Emptying: map[string]bool{"m-i3": true}, Demands: []carawayshift.Demand{demand("b", 0, 1, 1)},
+			}
+		}, nil, nil},
+		{"the label of the step", func() carawayshift.Load {
+			d := demand("b", 1, 1, 1)
+			d.Need.Label = "r2"
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r2")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i2"}, nil},
+		{"only runners with a ticket", func() carawayshift.Load {
+			d := demand("b", 1, 1, 1)
+			d.Allowed = map[string]bool{"i2": true}
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i2"}, nil},
+		{"at most so many on a runner", func() carawayshift.Load {
+			d := demand("b", 1, 3, 1)
+			d.Need.Spread = 1
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i1", "b@i2"}, nil},
+		{"near the data", func() carawayshift.Load {
+			d := demand("b", 1, 1, 1)
+			d.Need.DataRack = "r2"
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r2")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i2"}, nil},
+		{"not where the batch has failed", func() carawayshift.Load {
+			d := demand("b", 1, 1, 1)
+			d.Shunned = map[string]bool{"i1": true}
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i2"}, nil},
+		{"a gang as a whole or not at all", func() carawayshift.Load {
+			d := demand("b", 1, 3, 8)
+			d.Need.Gang = true
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")}, Demands: []carawayshift.Demand{d}}
+		}, nil, nil},
+		{"a gang on one rack", func() carawayshift.Load {
+			d := demand("b", 1, 2, 8)
+			d.Need.Gang, d.Need.OneRack = true, true
+			return carawayshift.Load{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r2"), runner("i3", "r2")}, Demands: []carawayshift.Demand{d}}
+		}, []string{"b@i2", "b@i3"}, nil},
+		{"the guarantee is reclaimed at the least loss", func() carawayshift.Load {
+			d := demand("b", 0, 1, 8)
+			d.Accepted = noon.Add(-2 * time.Second)
+			return carawayshift.Load{
+				Agents:     []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1")},
+				Holdings:   []carawayshift.Holding{holding("old", "i1", 1, 8, 30*time.Second), holding("young", "i2", 1, 8, 5*time.Second)},
+				Demands:    []carawayshift.Demand{d},
+				Guarantees: map[string]int{"carnival": 8},
+			}
+		}, nil, []string{"young@i2"}},
+		{"no preemption beyond the guarantee when it loses much", func() carawayshift.Load {
+			d := demand("b", 0, 1, 8)
+			d.Accepted = noon.Add(-2 * time.Second)
+			return carawayshift.Load{
+				Agents:   []carawayshift.Agent{runner("i1", "r1")},
+				Holdings: []carawayshift.Holding{holding("old", "i1", 1, 8, 30*time.Second)}, Demands: []carawayshift.Demand{d},
+			}
+		}, nil, nil},
+		{"no preemption while a run is about to end", func() carawayshift.Load {
+			h := holding("ending", "i1", 1, 8, 5*time.Second)
+			h.Ends = noon.Add(200 * time.Millisecond)
+			return carawayshift.Load{
+				Agents: []carawayshift.Agent{runner("i1", "r1")}, Holdings: []carawayshift.Holding{h},
+				Demands: []carawayshift.Demand{demand("b", 0, 1, 8)}, Guarantees: map[string]int{"carnival": 8},
+			}
+		}, nil, nil},
+		{"a reservation is kept from later demands", func() carawayshift.Load {
+			h := holding("ending", "i1", 1, 4, 5*time.Second)
+			h.Ends = noon.Add(time.Second)
+			return carawayshift.Load{
+				Agents: []carawayshift.Agent{runner("i1", "r1")}, Holdings: []carawayshift.Holding{h},
+				Demands: []carawayshift.Demand{demand("wide", 1, 1, 8), demand("small", 2, 1, 1)},
+			}
+		}, nil, nil},
+		{"a lasting task is no victim", func() carawayshift.Load {
+			h := holding("serving", "i1", 1, 8, time.Second)
+			h.Need.Lasting = true
+			d := demand("b", 0, 1, 8)
+			d.Accepted = noon.Add(-2 * time.Second)
+			return carawayshift.Load{
+				Agents: []carawayshift.Agent{runner("i1", "r1")}, Holdings: []carawayshift.Holding{h},
+				Demands: []carawayshift.Demand{d}, Guarantees: map[string]int{"carnival": 8},
+			}
+		}, nil, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := NewWithT(t)
+			l := tt.load()
+			l.Now = noon
+			out := dispatch.New(dispatch.Config{}).Dispatch(l)
+			var starts, stops []string
+			for _, s := range out.Starts {
+				starts = append(starts, s.Task.Batch+"@"+s.Runner)
+			}
+			for _, s := range out.Stops {
+				stops = append(stops, s.Task.Batch+"@"+s.Runner)
+			}
+			o.Expect(starts).To(Equal(tt.starts))
+			o.Expect(stops).To(Equal(tt.stops))
+		})
+	}
+}
+
+// Random loads: no runner gets more than it has, gangs are whole, and a demand
+// is placed where it may be.
+func TestRandomLoads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := carawayshift.Load{Now: noon, Guarantees: map[string]int{"carnival": rapid.IntRange(0, 32).Draw(t, "guarantee")}}
+		for i := range rapid.IntRange(1, 8).Draw(t, "runners") {
+			l.Agents = append(l.Agents, runner(fmt.Sprint("i", i), fmt.Sprint("r", i%2)))
+		}
+		for i := range rapid.IntRange(0, 8).Draw(t, "holdings") {
+			on := l.Agents[i%len(l.Agents)].ID
+			if i < len(l.Agents) {
+				l.Holdings = append(l.Holdings, holding(fmt.Sprint("h", i), on, rapid.IntRange(0, 2).Draw(t, "priority"), rapid.IntRange(0, 8).Draw(t, "size"), time.Second))
+			}
+		}
+		for i := range rapid.IntRange(0, 8).Draw(t, "demands") {
+			d := demand(fmt.Sprint("d", i), rapid.IntRange(0, 2).Draw(t, "priority"), rapid.IntRange(1, 5).Draw(t, "tasks"), rapid.IntRange(0, 8).Draw(t, "size"))
+			d.Need.Gang = rapid.Bool().Draw(t, "gang")
+			d.Need.OneRack = rapid.Bool().Draw(t, "rack")
+			d.Accepted = noon.Add(-time.Duration(rapid.IntRange(0, 4000).Draw(t, "age")) * time.Millisecond)
+			l.Demands = append(l.Demands, d)
+		}
+		checkPlan(t, l, dispatch.New(dispatch.Config{}).Dispatch(l))
+	})
+}
+
+func checkPlan(t *rapid.T, l carawayshift.Load, out carawayshift.Dispatch) {
+	used := map[string]int{}
+	for _, h := range l.Holdings {
+		used[h.Runner] += h.Need.Accelerators
+	}
+	needs, placed := map[string]carawayshift.Demand{}, map[string]int{}
+	for _, d := range l.Demands {
+		needs[d.Batch] = d
+	}
+	for _, s := range out.Starts {
+		used[s.Runner] += needs[s.Task.Batch].Need.Accelerators
+		placed[s.Task.Batch]++
+	}
+	for id, n := range used {
+		if n > 8 {
+			t.Fatalf("runner %s gets %d accelerators of 8", id, n)
+		}
+	}
+	for id, n := range placed {
+		if d := needs[id]; d.Need.Gang && n != len(d.Indexes) {
+			t.Fatalf("%d of %d members of gang %s are placed", n, len(d.Indexes), id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/probation/record_test.go
@@ -0,0 +1,66 @@
+package probation_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift/pkg/probation"
+)
+
+var now = time.Date(2026, 8, 1, 12, 0, 0, 0, time.UTC)
+
+func TestRecord(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(r *probation.Record)
+		out  bool
+	}{
+		{"unknown", func(*probation.Record) {}, false},
+		{"one batch fails often", func(r *probation.Record) {
+			r.Fail("i", "b1", now)
+			r.Fail("i", "b1", now)
+		}, false},
+		{"two batches fail", func(r *probation.Record) {
+			r.Fail("i", "b1", now)
+			r.Fail("i", "b2", now)
+		}, true},
+		{"another finishes between", func(r *probation.Record) {
+			r.Fail("i", "b1", now)
+			r.Succeed("i")
+			r.Fail("i", "b2", now)
+		}, false},
+		{"a task stands still", func(r *probation.Record) { r.Stall("i", "b1", now) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := NewWithT(t)
+			r := probation.New()
+			tt.play(r)
+			o.Expect(r.Out("i", now.Add(time.Second))).To(Equal(tt.out))
+			o.Expect(r.Out("other", now)).To(BeFalse())
+		})
+	}
+}
+
+func TestTermsGrow(t *testing.T) {
+	o := NewWithT(t)
+	r := probation.New()
+	at := now
+	for _, term := range []time.Duration{2, 4, 8, 16, 30, 30} {
+		r.Stall("i", "b", at)
+		o.Expect(r.Out("i", at.Add(term*time.Second-time.Millisecond))).To(BeTrue())
+		at = at.Add(term * time.Second)
+		o.Expect(r.Out("i", at)).To(BeFalse())
+	}
+}
+
+func TestForget(t *testing.T) {
+	o := NewWithT(t)
+	r := probation.New()
+	r.Fail("i", "b", now)
+	o.Expect(r.FailedOn("b")).To(HaveKey("i"))
+	r.Forget(func(string) bool { return false })
+	o.Expect(r.FailedOn("b")).To(BeEmpty())
+}
--- /dev/null
+++ b/pkg/repair/repair_test.go
@@ -0,0 +1,177 @@
+package repair_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift/pkg/repair"
+)
+
+func member(host string, identity uint64, voter bool, silent time.Duration) repair.Member {
+	return repair.Member{Host: host, Identity: identity, Voter: voter, Silent: silent, Current: silent == 0, Self: host == "a"}
+}
+
+func TestNext(t *testing.T) {
+	a, b, c := member("a", 1, true, 0), member("b", 2, true, 0), member("c", 3, true, 0)
+	lost := member("c", 3, true, time.Minute)
+	learner := member("d", 4, false, 0)
+	behind := member("d", 4, false, 0)
+	behind.Current = false
+	tests := []struct {
+		name string
+		view repair.View
+		want string
+	}{
+		{"complete", repair.View{Members: []repair.Member{a, b, c}}, ""},
+		{"a host comes back with another disk", repair.View{Members: []repair.Member{a, b, lost}, Joiners: []repair.Joiner{{Host: "c", Identity: 9}}}, "remove c"},
+		{"a host comes back with its disk", repair.View{Members: []repair.Member{a, b, lost}, Joiners: []repair.Joiner{{Host: "c", Identity: 3}}}, ""},
+		{"a new host asks", repair.View{Members: []repair.Member{a, b, c}, Joiners: []repair.Joiner{{Host: "d", Identity: 4}}}, "add d"},
+		{"a learner waits while all voters answer", repair.View{Members: []repair.Member{a, b, c, learner}}, ""},
+		{"a learner takes the place of a lost voter", repair.View{Members: []repair.Member{a, b, lost, learner}}, "promote d"},
+		{"a learner that is behind waits", repair.View{Members: []repair.Member{a, b, lost, behind}}, ""},
+		{"a lost voter goes once it is replaced", repair.View{Members: []repair.Member{a, b, lost, member("d", 4, true, 0)}}, "remove c"},
+		{"a voter is missing", repair.View{Members: []repair.Member{a, b, learner}}, "promote d"},
+		{"a short silence costs no seat", repair.View{Members: []repair.Member{a, b, member("c", 3, true, time.Second), learner}}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := NewWithT(t)
+			tt.view.Wanted, tt.view.Patience = 3, 4*time.Second
+			got, ok := repair.Next(tt.view)
+			text := ""
+			if ok {
+				text = fmt.Sprintf("%s %s", got.Op, got.Host)
+			}
+			o.Expect(text).To(Equal(tt.want))
+		})
+	}
+}
+
+// Random histories of a group whose hosts lose their disks one after the
+// other, are replaced or come back: the group keeps a majority of voters that
+// hold the log, and is complete again in the end.
+func TestHistories(t *testing.T) {
+	for seed := range uint64(600) {
+		g := newGroup(seed)
+		for range 12 {
+			g.disturb()
+			g.settle(t, seed)
+		}
+		if n := g.healthyVoters(); n != 3 || len(g.voters()) != 3 {
+			t.Fatalf("seed %d: %d of %d voters are healthy in the end: %+v", seed, n, len(g.voters()), g.members)
+		}
+	}
+}
+
+// group is a model of the replicated group and its rules.
+type group struct {
+	rng     *rand.Rand
+	members []repair.Member
+	// disks maps each running host to the identity of its disk.
+	disks map[string]uint64
+	next  uint64
+}
+
+func newGroup(seed uint64) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 3)), disks: map[string]uint64{}, next: 1}
+	for _, h := range []string{"a", "b", "c"} {
+		g.disks[h] = g.next
+		g.members = append(g.members, member(h, g.next, true, 0))
+		g.next++
+	}
+	return g
+}
+
+func (g *group) voters() (list []repair.Member) {
+	for _, m := range g.members {
+		if m.Voter {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (g *group) healthyVoters() (n int) {
+	for _, m := range g.voters() {
+		if g.disks[m.Host] == m.Identity {
+			n++
+		}
+	}
+	return n
+}
+
+// disturb takes a disk, or a host for good, as long as no other voter is lost.
+// The leader a keeps its disk: another leader would decide the same way.
+func (g *group) disturb() {
+	if g.healthyVoters() < len(g.voters()) {
+		return
+	}
+	list := g.voters()
+	m := list[g.rng.IntN(len(list))]
+	if m.Self {
+		return
+	}
+	g.next++
+	if g.rng.IntN(2) == 0 {
+		g.disks[m.Host] = g.next
+		return
+	}
+	delete(g.disks, m.Host)
+	g.disks[fmt.Sprint("n", g.next)] = g.next
+}
+
+// settle lets the decisions work until there is nothing left to do.
+func (g *group) settle(t *testing.T, seed uint64) {
+	for range 20 {
+		a, ok := repair.Next(g.view())
+		if !ok {
+			return
+		}
+		g.carryOut(a)
+		if n := g.healthyVoters(); 2*n <= len(g.voters()) {
+			t.Fatalf("seed %d: after %s %s only %d of %d voters are healthy", seed, a.Op, a.Host, n, len(g.voters()))
+		}
+	}
+	t.Fatalf("seed %d: no end of changes: %+v", seed, g.members)
+}
+
+func (g *group) view() repair.View {
+	v := repair.View{Wanted: 3, Patience: 4 * time.Second}
+	for _, m := range g.members {
+		m.Silent, m.Current = 0, true
+		if g.disks[m.Host] != m.Identity {
+			m.Silent, m.Current = time.Minute, false
+		}
+		v.Members = append(v.Members, m)
+	}
+	for h, id := range g.disks {
+		known := false
+		for _, m := range g.members {
+			known = known || m.Host == h && m.Identity == id
+		}
+		if !known {
+			v.Joiners = append(v.Joiners, repair.Joiner{Host: h, Identity: id})
+		}
+	}
+	return v
+}
+
+func (g *group) carryOut(a repair.Action) {
+	for i, m := range g.members {
+		if m.Host != a.Host {
+			continue
+		}
+		switch a.Op {
+		case repair.Promote:
+			g.members[i].Voter = true
+		case repair.Remove:
+			g.members = append(g.members[:i:i], g.members[i+1:]...)
+		}
+		return
+	}
+	g.members = append(g.members, member(a.Host, g.disks[a.Host], false, 0))
+}
