--- a/cmd/carawayshift/check.go
+++ b/cmd/carawayshift/check.go
@@ -29,7 +29,10 @@
 	if s.Control.Data != "" {
 		role = "entry and control host"
 	}
-	fmt.Printf("%s is valid: %s %s of zone %s, region %s, %d hosts in the deployment\n",
-		c.File, role, s.Host.Name, s.Host.Zone, s.Host.Region, len(s.Peers))
+	others := fmt.Sprintf("%d hosts in the deployment", len(s.Peers))
+	if s.Joins() {
+		others = fmt.Sprintf("finds the others from %d seeds", len(s.Join.Seeds))
+	}
+	fmt.Printf("%s is valid: %s %s of zone %s, region %s, %s\n", c.File, role, s.Host.Name, s.Host.Zone, s.Host.Region, others)
 	return nil
 }
--- a/cmd/carawayshift/standin.go
+++ b/cmd/carawayshift/standin.go
@@ -9,15 +9,60 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/standin/agent"
 	"carawayshift.example/carawayshift/internal/standin/runner"
 	"carawayshift.example/carawayshift/internal/standin/worker"
+	"carawayshift.example/carawayshift/platform"
 )
 
 type standinCmd struct {
 	Runner standinRunnerCmd `cmd:"" help:"A runner that answers requests of one service. Example: carawayshift standin runner --name r1 --zone belmont --service fitting --listen 127.0.0.1:9001 --entry http://127.0.0.1:8480"`
 	Worker standinWorkerCmd `cmd:"" help:"A worker that runs tasks as timers. Example: carawayshift standin worker --name w1 --zone belmont --rack r1 --listen 127.0.0.1:9101 --entry http://127.0.0.1:8480"`
+	Agent  standinAgentCmd  `cmd:"" help:"A runner that executes tasks of batches. Example: carawayshift standin agent --id i-1 --zone belmont --rack r1 --service fit --listen 127.0.0.1:9201 --control 127.0.1.1:8526"`
 }
 
+type standinAgentCmd struct {
+	ID           string        `help:"Id of the runner." required:""`
+	Zone         string        `help:"Availability zone." required:""`
+	Rack         string        `help:"Rack." required:""`
+	Service      string        `help:"Service to which it belongs." required:""`
+	Listen       string        `help:"IP:port to listen on and to report." required:""`
+	Control      []string      `help:"IP:port of a control host; may be repeated." required:""`
+	Cores        int           `help:"Processor cores." default:"32"`
+	Memory       int           `help:"Memory in MB." default:"65536"`
+	Accelerators int           `help:"Accelerators." default:"8"`
+	Work         time.Duration `help:"Run time of a task." default:"1s"`
+}
+
+// Run serves until the process is told to stop. Its tasks end with it.
+func (c *standinAgentCmd) Run(ctx context.Context) error {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "standin agent")
+	}
+	a := agent.New(agent.Config{
+		Agent: carawayshift.Agent{
+			ID: c.ID, Life: time.Now().UnixMilli(), Service: c.Service, Zone: c.Zone, Address: c.Listen, Rack: c.Rack,
+			Labels: []string{"a", c.Rack}, MilliCores: 1000 * c.Cores, Memory: c.Memory, Accelerators: c.Accelerators,
+		},
+		Work: func(carawayshift.TaskName, int) (time.Duration, bool) { return c.Work, false },
+		Stop: standinStop, Alone: standinAlone, Lease: standinLease,
+	})
+	s := platform.NewStandin(a, c.Control, logrus.StandardLogger())
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
+	defer srv.Close()
+	return s.Run(ctx)
+}
+
+// Times of the stand-in for runners of batches.
+const (
+	standinStop  = 300 * time.Millisecond
+	standinAlone = 3 * time.Second
+	standinLease = 6 * time.Second
+)
+
 type standinRunnerCmd struct {
 	Name        string        `help:"Name of the runner." required:""`
 	Zone        string        `help:"Availability zone." required:""`
--- a/internal/station/station.go
+++ b/internal/station/station.go
@@ -171,8 +171,8 @@
 		{net.TCPAddrFromAddrPort(l.Entry), l.Entry.IsValid(), platform.NewEntry(s.relay, s.opts.Log)},
 		{net.TCPAddrFromAddrPort(l.Ready), l.Ready.IsValid(), platform.Readiness(s.health.Ready)},
 		{net.TCPAddrFromAddrPort(l.Control), l.Control.IsValid(), platform.NewControl(s.relay, s.opts.Log)},
-		{net.TCPAddrFromAddrPort(l.Metrics), l.Metrics.IsValid(), s.health},
 	}
+	s.listenMetrics()
 	for _, e := range listeners {
 		if !e.valid {
 			continue
@@ -186,6 +186,21 @@
 	return nil
 }
 
+// listenMetrics serves the metrics. A host works without them when their port
+// is taken.
+func (s *Station) listenMetrics() {
+	addr := s.opts.Settings.Listen.Metrics
+	if !addr.IsValid() {
+		return
+	}
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		s.opts.Log.WithError(err).Warn("metrics are not served, see [listen] metrics")
+		return
+	}
+	s.serve(ln, s.health)
+}
+
 func (s *Station) serve(ln net.Listener, h http.Handler) {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s.servers = append(s.servers, srv)
