Keep as many voters as the losses to be borne ask for

Change: the setting [join] losses says how many disks may be lost at once; the group grows to twice that and one more. The histories of pkg/repair are played with one and two losses, from a group that three hosts form.

--- a/cmd/carawayshift/station_test.go
+++ b/cmd/carawayshift/station_test.go
@@ -69,7 +69,7 @@
 func (s *site) host(name, ip string, control bool) {
 	addr := fmt.Sprintf("%s:%d", ip, s.port)
 	f := map[string]any{
-		"node": name, "zone": "belmont", "region": "north", "ip": ip, "internal_ports": []any{s.port + 1}, "bootstrap": true,
+		"node": name, "zone": "belmont", "region": "north", "ip": ip, "internal_ports": []any{s.port + 1}, "bootstrap": true, "fault_tolerance": map[string]any{"machines": 1},
 		"seeds": []any{s.control(0), s.control(1), s.control(2)}, "heartbeat_ms": 500, "zones": map[string]any{"belmont": "north"},
 		"limits": map[string]any{"memory_mb": 256}, "cloud_api": map[string]any{"address": ""},
 		"bounds": map[string]any{
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -21,7 +21,7 @@
 	c.optionalAddress("metrics", &s.Listen.Metrics)
 	c.readSeeds(s)
 	c.flag("join", "first", &s.Join.First)
-	c.number("join", "voters", 1, maxVoters, &s.Join.Voters)
+	c.number("join", "losses", 0, maxVoters/2, &s.Join.Losses)
 	c.duration("runners", "lease", &s.Runners.Lease)
 	c.duration("runners", "heartbeat", &s.Runners.Heartbeat)
 	c.duration("runners", "stop", &s.Runners.Stop)
@@ -105,7 +105,7 @@
 	}
 	n, err := strconv.Atoi(e.value)
 	if err != nil || n < least || n > most {
-		c.add(section, e, "is not a number from "+strconv.Itoa(least)+" to "+strconv.Itoa(most), "write for example "+strconv.Itoa(least))
+		c.add(section, e, "is not a number from "+strconv.Itoa(least)+" to "+strconv.Itoa(most), "write for example "+strconv.Itoa(most))
 		return
 	}
 	*into = n
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -61,7 +61,7 @@
 	"log":      {"level", "format"},
 	"zones":    nil,
 	"peers":    nil,
-	"join":     {"seeds", "first", "voters"},
+	"join":     {"seeds", "first", "losses"},
 	"runners":  {"lease", "heartbeat", "stop", "remote", "reclaim", "notice", "upkeep"},
 	"batches":  {"keep"},
 	"limits":   {"memory"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,10 +62,15 @@
 	// First is true while the whole deployment starts for the first time: the
 	// seeds then form the replicated group.
 	First bool
-	// Voters is the number of voters that the group keeps.
-	Voters int
+	// Losses is the number of disks that may be lost at the same time without
+	// a loss of state.
+	Losses int
 }
 
+// Voters is the number of voters that the group keeps: a majority of them
+// outlives the losses.
+func (j Join) Voters() int { return 2*j.Losses + 1 }
+
 // Runners holds what the runners' platform dictates.
 type Runners struct {
 	// Lease is the longest time that a runner keeps its tasks without a call.
@@ -215,7 +220,7 @@
 		Requests: Requests{Body: 4 << 20, Queue: 256, Deadline: 30 * time.Second},
 		Log:      Log{Level: "info", Format: "text"},
 		Zones:    map[string]string{},
-		Join:     Join{Voters: 3},
+		Join:     Join{Losses: 1},
 		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, Notice: 6 * time.Second, Upkeep: 2 * time.Second, Remote: 3},
 		Batches:  Batches{Keep: 3 * time.Minute},
 	}
--- a/internal/station/control.go
+++ b/internal/station/control.go
@@ -57,7 +57,7 @@
 	}
 	c.group = group.New(group.Config{
 		Host: s.name, Replica: c.replica, Transport: s.mesh, Known: s.relay.Known,
-		Wanted: cfg.Join.Voters, Patience: voterPatience, Logger: s.opts.Log,
+		Wanted: cfg.Join.Voters(), Patience: voterPatience, Logger: s.opts.Log,
 	})
 	client := platform.NewClient()
 	services := platform.NewServices(client, cfg.Services.Machines, cfg.Services.Advice)
--- a/pkg/repair/repair_test.go
+++ b/pkg/repair/repair_test.go
@@ -55,14 +55,19 @@
 // other, are replaced or come back: the group keeps a majority of voters that
 // hold the log, and is complete again in the end.
 func TestHistories(t *testing.T) {
-	for seed := range uint64(600) {
-		g := newGroup(seed)
-		for range 12 {
-			g.disturb()
+	for _, losses := range []int{1, 2} {
+		for seed := range uint64(600) {
+			g := newGroup(seed, losses)
 			g.settle(t, seed)
-		}
-		if n := g.healthyVoters(); n != 3 || len(g.voters()) != 3 {
-			t.Fatalf("seed %d: %d of %d voters are healthy in the end: %+v", seed, n, len(g.voters()), g.members)
+			for range 12 {
+				for range losses {
+					g.disturb()
+				}
+				g.settle(t, seed)
+			}
+			if n := g.healthyVoters(); n != g.wanted || len(g.voters()) != g.wanted {
+				t.Fatalf("seed %d: %d of %d voters are healthy in the end: %+v", seed, n, len(g.voters()), g.members)
+			}
 		}
 	}
 }
@@ -74,13 +79,18 @@
 	// disks maps each running host to the identity of its disk.
 	disks map[string]uint64
 	next  uint64
+	// losses may be lost at the same time.
+	losses, wanted int
 }
 
-func newGroup(seed uint64) *group {
-	g := &group{rng: rand.New(rand.NewPCG(seed, 3)), disks: map[string]uint64{}, next: 1}
-	for _, h := range []string{"a", "b", "c"} {
+// newGroup is formed by three hosts; the others ask to join.
+func newGroup(seed uint64, losses int) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 3)), disks: map[string]uint64{}, next: 1, losses: losses, wanted: 2*losses + 1}
+	for i, h := range []string{"a", "b", "c", "d", "e"}[:g.wanted] {
 		g.disks[h] = g.next
-		g.members = append(g.members, member(h, g.next, true, 0))
+		if i < 3 {
+			g.members = append(g.members, member(h, g.next, true, 0))
+		}
 		g.next++
 	}
 	return g
@@ -104,10 +114,10 @@
 	return n
 }
 
-// disturb takes a disk, or a host for good, as long as no other voter is lost.
+// disturb takes a disk, or a host for good, as long as the losses allow it.
 // The leader a keeps its disk: another leader would decide the same way.
 func (g *group) disturb() {
-	if g.healthyVoters() < len(g.voters()) {
+	if len(g.voters())-g.healthyVoters() >= g.losses {
 		return
 	}
 	list := g.voters()
@@ -126,7 +136,7 @@
 
 // settle lets the decisions work until there is nothing left to do.
 func (g *group) settle(t *testing.T, seed uint64) {
-	for range 20 {
+	for range 40 {
 		a, ok := repair.Next(g.view())
 		if !ok {
 			return
@@ -140,7 +150,7 @@
 }
 
 func (g *group) view() repair.View {
-	v := repair.View{Wanted: 3, Patience: 4 * time.Second}
+	v := repair.View{Wanted: g.wanted, Patience: 4 * time.Second}
 	for _, m := range g.members {
 		m.Silent, m.Current = 0, true
 		if g.disks[m.Host] != m.Identity {
