--- a/cmd/carawayshift/main.go
+++ b/cmd/carawayshift/main.go
@@ -31,6 +31,7 @@
 	Keys    keysCmd    `cmd:"" help:"Create the deployment's CA and host certificates. Example: carawayshift keys --dir keys --host lav1=192.0.2.11"`
 	Standin standinCmd `cmd:"" help:"Run a stand-in target. Example: carawayshift standin worker --name w1 --zone belmont --rack r1 --listen 127.0.0.1:9101 --entry http://127.0.0.1:8480"`
 	Load    loadCmd    `cmd:"" help:"Send an open-loop load to an entry host. Example: carawayshift load --entry http://127.0.0.1:8480 --service fitting --rate 50 --duration 10s"`
+	Trace   traceCmd   `cmd:"" help:"Tell from log files what happened to a batch. Example: carawayshift trace core-1.log core-2.log front-1.log 5c0e7a21d94b36f8"`
 	Demo    demoCmd    `cmd:"" help:"Run a whole deployment in one process on loopback. Example: carawayshift demo"`
 }
 
--- a/cmd/carawayshift/serve.go
+++ b/cmd/carawayshift/serve.go
@@ -8,11 +8,14 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift/internal/keys"
+	"carawayshift.example/carawayshift/internal/logline"
 	"carawayshift.example/carawayshift/internal/server"
 	"carawayshift.example/carawayshift/internal/settings"
 	"carawayshift.example/carawayshift/internal/station"
@@ -55,8 +58,10 @@
 	if cfg.Limits.Memory > 0 {
 		debug.SetMemoryLimit(cfg.Limits.Memory / 4 * 3)
 	}
+	lines := logline.New(os.Stdout, logline.Config{Dropped: metrics.GetOrCreateCounter("carawayshift_log_dropped_lines_total")})
+	defer lines.Close()
 	s, err := station.New(station.Options{
-		Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name, os.Stdout),
+		Settings: cfg, Log: newLog(cfg.Log, cfg.Host.Name, lines),
 		Reload: func() (settings.Settings, error) { return settings.Load(c.Settings) },
 	})
 	if err != nil {
@@ -84,7 +89,7 @@
 		l.SetLevel(level)
 	}
 	if cfg.Format == "json" {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
 	return l.WithField("host", host)
 }
--- /dev/null
+++ b/internal/casebook/casebook.go
@@ -0,0 +1,178 @@
+// Package casebook reads the log files of several processes and tells what
+// happened to a request: its events in the order of time, the gaps between
+// them, and the most likely cause of a bad end.
+//
+// # Usage
+//
+//	var book casebook.Book
+//	err := book.Read(file)  // for each file; ".gz" names are unpacked by Open
+//	story, ok := book.Story("5c0e7a21d94b36f8")
+//	fmt.Print(story)
+//
+// Lines that can't be read are counted and passed over. Text before the first
+// brace of a line, such as a collector's time and host, is ignored.
+package casebook
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLine is the longest line that is read whole.
+const maxLine = 1 << 20
+
+// Event is one log line.
+type Event struct {
+	At    time.Time `json:"at"`
+	Host  string    `json:"host"`
+	Event string    `json:"event"`
+	// Batch is the request that the line is about, "" for none.
+	Batch string         `json:"batch,omitempty"`
+	Text  string         `json:"text"`
+	Data  map[string]any `json:"data,omitempty"`
+}
+
+// Book holds the events of all files.
+type Book struct {
+	Events []Event
+	// Bad counts the lines that could not be read.
+	Bad int
+}
+
+// Open reads a file, which may be compressed.
+func (b *Book) Open(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "casebook.Open")
+	}
+	defer f.Close()
+	if !strings.HasSuffix(path, ".gz") {
+		return b.Read(f)
+	}
+	z, err := gzip.NewReader(f)
+	if err != nil {
+		return errors.Wrapf(err, "casebook.Open: %s is not compressed", path)
+	}
+	return b.Read(z)
+}
+
+// Read adds the lines of one process. A file that ends in the middle gives
+// what was read of it.
+func (b *Book) Read(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		b.add(s.Bytes())
+	}
+	err := s.Err()
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, bufio.ErrTooLong) {
+		b.Bad++
+		return nil
+	}
+	return errors.Wrap(err, "casebook.Read")
+}
+
+func (b *Book) add(line []byte) {
+	i := bytes.IndexByte(line, '{')
+	if i < 0 {
+		if len(bytes.TrimSpace(line)) > 0 {
+			b.Bad++
+		}
+		return
+	}
+	var data map[string]any
+	if json.Unmarshal(line[i:], &data) != nil {
+		b.Bad++
+		return
+	}
+	e := Event{Data: data, Host: text(data, "host"), Event: text(data, "event"), Text: text(data, "msg"), Batch: text(data, "batch")}
+	if e.Batch == "" {
+		e.Batch, _, _ = strings.Cut(text(data, "task"), ".")
+	}
+	at, err := time.Parse(time.RFC3339Nano, text(data, "time"))
+	if err != nil {
+		b.Bad++
+		return
+	}
+	e.At = at
+	for _, k := range []string{"host", "event", "msg", "time", "level", "part", "batch"} {
+		delete(e.Data, k)
+	}
+	b.Events = append(b.Events, e)
+}
+
+func text(data map[string]any, key string) string {
+	s, _ := data[key].(string)
+	return s
+}
+
+// sorted returns the events in the order of time.
+func (b *Book) sorted() []Event {
+	list := slices.Clone(b.Events)
+	slices.SortStableFunc(list, func(x, y Event) int { return x.At.Compare(y.At) })
+	return list
+}
+
+// Story returns what is known of a batch.
+func (b *Book) Story(id string) (Story, bool) {
+	s := Story{ID: id}
+	all := b.sorted()
+	for _, e := range all {
+		if e.Batch == id {
+			s.Events = append(s.Events, e)
+		}
+	}
+	if len(s.Events) == 0 {
+		return s, false
+	}
+	s.Cause = s.cause(all)
+	return s, true
+}
+
+// Slowest returns the batches with the longest time from their acceptance to
+// their last recorded end, longest first.
+func (b *Book) Slowest(n int) []Story {
+	return b.worst(n, func(s Story) bool { return s.Took() > 0 }, func(x, y Story) int { return cmp.Compare(y.Took(), x.Took()) })
+}
+
+// Refused returns the batches whose submission was answered with an error,
+// oldest first.
+func (b *Book) Refused(n int) []Story {
+	return b.worst(n, func(s Story) bool { return s.refusal() != nil }, func(x, y Story) int { return x.Events[0].At.Compare(y.Events[0].At) })
+}
+
+func (b *Book) worst(n int, keep func(Story) bool, order func(x, y Story) int) []Story {
+	all := b.sorted()
+	byID := map[string]*Story{}
+	var list []Story
+	for _, e := range all {
+		if e.Batch == "" {
+			continue
+		}
+		if byID[e.Batch] == nil {
+			byID[e.Batch] = &Story{ID: e.Batch}
+		}
+		byID[e.Batch].Events = append(byID[e.Batch].Events, e)
+	}
+	for _, s := range byID {
+		if keep(*s) {
+			list = append(list, *s)
+		}
+	}
+	slices.SortFunc(list, func(x, y Story) int { return cmp.Or(order(x, y), cmp.Compare(x.ID, y.ID)) })
+	list = list[:min(n, len(list))]
+	for i := range list {
+		list[i].Cause = list[i].cause(all)
+	}
+	return list
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -137,7 +137,7 @@
 	d.mu.Lock()
 	d.tenure = t
 	d.mu.Unlock()
-	t.log.Info("leading")
+	t.log.WithField("event", "leading").Info("leading")
 	go d.watch(ctx, term, cancel)
 	t.run(ctx)
 	d.mu.Lock()
@@ -145,7 +145,7 @@
 	d.mu.Unlock()
 	cancel()
 	t.wait()
-	t.log.Info("no longer leading")
+	t.log.WithField("event", "resigned").Info("no longer leading")
 	d.awaitOther(parent, term)
 }
 
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -29,6 +29,8 @@
 	ends []endReport
 	// advice is what is known of advised steps.
 	advice map[carawayshift.TaskName]*advice
+	// waits holds the rule that last held each waiting batch back.
+	waits map[string]string
 	// emptying holds machines that are next in a wave, upkept those whose
 	// upkeep was confirmed.
 	emptying map[string]bool
@@ -92,6 +94,7 @@
 	load := t.load(now)
 	t.dropLapsed(load)
 	plan := t.d.cfg.Planner.Dispatch(load)
+	t.noteWaits(plan.Waits)
 	t.preempt(plan.Stops)
 	t.start(ctx, plan.Starts)
 	if !next.IsZero() {
@@ -100,6 +103,18 @@
 	return planEvery
 }
 
+// noteWaits logs each batch that begins to wait, or waits for another reason.
+func (t *tenure) noteWaits(list []carawayshift.DispatchWait) {
+	now := make(map[string]string, len(list))
+	for _, w := range list {
+		now[w.Batch] = w.Rule
+		if t.waits[w.Batch] != w.Rule {
+			t.log.WithFields(logrus.Fields{"event": "waiting", "batch": w.Batch, "rule": w.Rule}).Info("batch waits")
+		}
+	}
+	t.waits = now
+}
+
 // propose commits a change.
 func (t *tenure) propose(ctx context.Context, c *carawayshift.BatchChange) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
--- /dev/null
+++ b/internal/logline/writer_test.go
@@ -0,0 +1,84 @@
+package logline_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift/internal/logline"
+)
+
+// stuck is an output that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(b)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewWithT(t)
+		out := &stuck{release: make(chan struct{})}
+		w := logline.New(out, logline.Config{Queue: 4})
+		start := time.Now()
+		for i := range 100 {
+			fmt.Fprintf(w, "line %d\n", i)
+		}
+		o.Expect(time.Since(start)).To(BeZero())
+		close(out.release)
+		w.Close()
+		o.Expect(out.buf.String()).To(ContainSubstring(`"event":"lines dropped"`))
+		kept := strings.Count(out.buf.String(), "line ")
+		o.Expect(kept).To(BeNumerically("<=", 5))
+		o.Expect(out.buf.String()).To(ContainSubstring(fmt.Sprintf(`"lines":%d`, 100-kept)))
+	})
+}
+
+func TestLimitOfSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewWithT(t)
+		var out bytes.Buffer
+		w := logline.New(&out, logline.Config{PerSecond: 10})
+		for range 3 {
+			for range 30 {
+				fmt.Fprintln(w, "x")
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		w.Close()
+		o.Expect(strings.Count(out.String(), "x\n")).To(Equal(30))
+		o.Expect(strings.Count(out.String(), `"lines":20`)).To(Equal(3))
+	})
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := logline.New(io.Discard, logline.Config{PerSecond: 1 << 30, Queue: 1 << 16})
+	defer w.Close()
+	line := []byte(strings.Repeat("x", 250) + "\n")
+	for b.Loop() {
+		_, _ = w.Write(line)
+	}
+}
+
+func BenchmarkDroppedLine(b *testing.B) {
+	w := logline.New(io.Discard, logline.Config{PerSecond: 1})
+	defer w.Close()
+	line := []byte(strings.Repeat("x", 250) + "\n")
+	for b.Loop() {
+		_, _ = w.Write(line)
+	}
+}
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -179,3 +179,31 @@
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return len(found) > 0
 }
+
+// Guards against events that the page doesn't explain, and against explained
+// events that no code writes.
+func TestOperationsExplainsEveryEvent(t *testing.T) {
+	o := NewWithT(t)
+	page, err := os.ReadFile(filepath.Join(root, "docs/OPERATIONS.md"))
+	o.Expect(err).NotTo(HaveOccurred())
+	explained := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z ]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		explained[m[1]] = true
+	}
+	written := map[string]bool{"lines dropped": true} // written as text, not through a logger
+	pattern := regexp.MustCompile(`(?:"event": |WithField\("event", )"([a-z ]+)"`)
+	for _, dir := range []string{"internal", "platform", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, m := range pattern.FindAllStringSubmatch(string(text), -1) {
+				written[m[1]] = true
+			}
+			return err
+		})
+		o.Expect(err).NotTo(HaveOccurred())
+	}
+	o.Expect(explained).To(Equal(written))
+}
