--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 // loop holds the runner's leases while something runs there, and otherwise
@@ -88,7 +89,7 @@
 		s.t.drop(s, "its leases have expired")
 		return
 	}
-	sleep(s.ctx, refusalPause)
+	pause.For(s.ctx, refusalPause)
 }
 
 // heard takes a runner's lists: ends go to the log, runs that are not listed
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -16,6 +16,7 @@
 	"carawayshift.example/carawayshift/internal/standin/agent"
 	"carawayshift.example/carawayshift/internal/state"
 	"carawayshift.example/carawayshift/pkg/dispatch"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 // rig plays several leaders, one after the other, against stand-in runners.
@@ -224,7 +225,7 @@
 					a.Sequence = seq
 					_ = d.Report(a)
 				}
-				sleep(ctx, rigTiming.Heartbeat)
+				pause.For(ctx, rigTiming.Heartbeat)
 			}
 		}()
 	}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 	"carawayshift.example/carawayshift/pkg/progress"
 )
 
@@ -351,7 +352,7 @@
 			return
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "order failed", "task": task.String(), "run": n}).Warn("stop not confirmed")
-		sleep(s.ctx, refusalPause)
+		pause.For(s.ctx, refusalPause)
 	}
 }
 
@@ -385,12 +386,3 @@
 	}
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/dispatcher/upkeep.go
+++ b/internal/dispatcher/upkeep.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 	"carawayshift.example/carawayshift/pkg/upkeep"
 )
 
@@ -21,7 +22,7 @@
 // tend carries out waves of upkeep until the tenure ends.
 func (t *tenure) tend(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, waveEvery)
+		pause.For(ctx, waveEvery)
 		for _, w := range t.d.cfg.Table.Waves() {
 			if !w.Complete() && ctx.Err() == nil {
 				t.tendWave(ctx, w)
--- a/internal/gang/agent.go
+++ b/internal/gang/agent.go
@@ -174,12 +174,3 @@
 	}
 	at.supervise(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/gang/attempt.go
+++ b/internal/gang/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 	"github.com/sirupsen/logrus"
 )
 
@@ -84,7 +85,7 @@
 	}
 	at.log.WithError(err).Warn("start not accepted")
 	at.settle(ctx)
-	sleep(ctx, retryInterval)
+	pause.For(ctx, retryInterval)
 	return false
 }
 
--- a/internal/gang/supervise.go
+++ b/internal/gang/supervise.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 // supervise renews the leases of a running gang and ends the attempt when it
@@ -37,7 +38,7 @@
 			}
 			next = at.nextRenewal(err)
 		}
-		sleep(ctx, scanInterval)
+		pause.For(ctx, scanInterval)
 	}
 }
 
@@ -109,7 +110,7 @@
 	}
 	if err != nil {
 		at.log.WithError(err).Warn("finish not recorded yet")
-		sleep(ctx, retryInterval)
+		pause.For(ctx, retryInterval)
 		return false
 	}
 	at.log.Info("gang finished")
@@ -195,7 +196,7 @@
 		if err == nil || at.expired(ctx) {
 			return
 		}
-		sleep(ctx, retryInterval)
+		pause.For(ctx, retryInterval)
 	}
 }
 
@@ -212,6 +213,6 @@
 			return
 		}
 		at.log.WithError(err).Warn("end of the attempt not recorded yet")
-		sleep(ctx, retryInterval)
+		pause.For(ctx, retryInterval)
 	}
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 	"carawayshift.example/carawayshift/pkg/repair"
 	"carawayshift.example/carawayshift/pkg/replica"
 )
@@ -116,7 +117,7 @@
 		if !isMember(st) || time.Since(heard) > orphanAfter {
 			g.askAll(ctx, st)
 		}
-		sleep(ctx, askEvery)
+		pause.For(ctx, askEvery)
 	}
 }
 
@@ -172,7 +173,7 @@
 // keep repairs the group while this host leads.
 func (g *Group) keep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, checkEvery)
+		pause.For(ctx, checkEvery)
 		st := g.cfg.Replica.Status()
 		if !st.Ready {
 			g.mu.Lock()
@@ -244,12 +245,3 @@
 	}
 	entry.Info("group changed")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -100,7 +101,7 @@
 			}
 			cancel()
 		}
-		sleep(ctx, refresh/4)
+		pause.For(ctx, refresh/4)
 	}
 	return nil
 }
@@ -155,7 +156,7 @@
 				break
 			}
 		}
-		sleep(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	if unclear {
 		return reply{}, carawayshift.NewError(carawayshift.OutcomeUnknown, "the leader did not answer in time", "ask again with the same id")
@@ -236,12 +237,3 @@
 		r.known[host] = time.Now()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -16,6 +16,7 @@
 	"carawayshift.example/carawayshift/pkg/follower"
 	"carawayshift.example/carawayshift/pkg/journal"
 	"carawayshift.example/carawayshift/pkg/lease"
+	"carawayshift.example/carawayshift/pkg/pause"
 	"carawayshift.example/carawayshift/pkg/replica"
 )
 
@@ -133,16 +134,7 @@
 			c.synced.Store(true)
 			return
 		}
-		sleep(ctx, syncRetry)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		pause.For(ctx, syncRetry)
 	}
 }
 
--- a/internal/standin/worker/tasks.go
+++ b/internal/standin/worker/tasks.go
@@ -1,12 +1,12 @@
 package worker
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -47,7 +47,7 @@
 	}
 	verb := r.PathValue("verb")
 	if verb == "checkpoint" && f.Checkpoint > 0 {
-		sleep(r.Context(), time.Duration(f.Checkpoint)*time.Millisecond)
+		pause.For(r.Context(), time.Duration(f.Checkpoint)*time.Millisecond)
 	}
 	if err := w.apply(verb, c, f); err != nil {
 		refuse(rw, http.StatusConflict, err)
@@ -248,13 +248,6 @@
 	_ = json.NewEncoder(rw).Encode(refusal{Error: e.Text, Kind: string(e.Kind), Remedy: e.Remedy})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // StartsAfter counts the tasks that started after a time.
 func (w *Worker) StartsAfter(t time.Time) int {
 	w.mu.Lock()
--- a/internal/terminal/shell.go
+++ b/internal/terminal/shell.go
@@ -28,16 +28,17 @@
 	"github.com/cockroachdb/errors"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
 	// attemptTime is longer than a host works on a command: 8 s for the log
 	// and 2 s for the hosts on which it must be in force.
 	attemptTime = 12 * time.Second
-	// rounds is how often every host is tried. The pause between two rounds
+	// rounds is how often every host is tried. The wait between two rounds
 	// covers part of an election.
-	rounds = 3
-	pause  = time.Second
+	rounds    = 3
+	roundWait = time.Second
 	// maxReply bounds a reply: 2,000 rows of about 1 KB, with room to spare.
 	maxReply = 16 << 20
 	// maxLine is the longest line that is read; the host refuses statements
@@ -152,7 +153,7 @@
 	}
 	all := try{err: errors.New("no entry host is given")}
 	for round := range rounds {
-		if round > 0 && !sleep(ctx, pause) {
+		if round > 0 && !pause.For(ctx, roundWait) {
 			break
 		}
 		for i, host := range s.Hosts {
@@ -251,12 +252,3 @@
 	}
 	return rand.Text()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/claim/recover.go
+++ b/pkg/claim/recover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -37,12 +38,12 @@
 		return nil
 	}
 	start := time.Now()
-	if !sleep(ctx, recoveryWait) {
+	if !pause.For(ctx, recoveryWait) {
 		return nil
 	}
 	done := map[string]bool{}
 	for !r.collected(ctx, done) && time.Since(start) < r.cfg.Retention {
-		if !sleep(ctx, recoverPoll) {
+		if !pause.For(ctx, recoverPoll) {
 			return nil
 		}
 	}
@@ -175,14 +176,3 @@
 	}
 	return p
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/pkg/follower/follower.go
+++ b/pkg/follower/follower.go
@@ -246,17 +246,6 @@
 	return out
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (f *Follower) call(ctx context.Context, wait time.Duration, host, method string, in, out any) error {
 	body, err := carawayshift.Encode(in)
 	if err != nil {
--- a/pkg/follower/pull.go
+++ b/pkg/follower/pull.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 type pullRequest struct {
@@ -50,7 +51,7 @@
 			continue
 		}
 		// A source that answers empty without a wait is not asked in a loop.
-		if !sleep(ctx, wait/2+rand.N(wait/2)) {
+		if !pause.For(ctx, wait/2+rand.N(wait/2)) {
 			return
 		}
 		wait = min(2*wait, retryMax)
--- a/pkg/follower/ready.go
+++ b/pkg/follower/ready.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -64,7 +65,7 @@
 		if f.askPeers(ctx) {
 			return
 		}
-		if !sleep(ctx, floorRetry) {
+		if !pause.For(ctx, floorRetry) {
 			return
 		}
 	}
--- a/pkg/follower/report.go
+++ b/pkg/follower/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -62,7 +63,7 @@
 			return
 		}
 		timer.Stop()
-		if !sleep(ctx, reportDelay) {
+		if !pause.For(ctx, reportDelay) {
 			return
 		}
 		select {
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 // Valid returns the lease of this host's zone while this host holds it. The
@@ -31,7 +32,7 @@
 // hold asks for the lease, renews it, or waits until it may be free.
 func (t *Table) hold(ctx context.Context) {
 	wait := rand.N(renewEvery)
-	for sleep(ctx, wait) {
+	for pause.For(ctx, wait) {
 		wait = t.renew(ctx)
 	}
 }
--- a/pkg/lease/leader.go
+++ b/pkg/lease/leader.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 func (t *Table) handleRenew(ctx context.Context, from string, body []byte) ([]byte, error) {
@@ -142,7 +143,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, min(watchEvery, max(0, time.Until(until)))) {
+		if !pause.For(ctx, min(watchEvery, max(0, time.Until(until)))) {
 			return carawayshift.NewError(carawayshift.OutcomeUnknown, "the lease of zone "+zone+" was not confirmed as revoked", "wait for 2 s, it expires by itself")
 		}
 	}
--- a/pkg/lease/table.go
+++ b/pkg/lease/table.go
@@ -33,6 +33,7 @@
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/pkg/pause"
 )
 
 const (
@@ -177,7 +178,7 @@
 // predecessor's leases starts with the election and not with the first
 // request.
 func (t *Table) watch(ctx context.Context) {
-	for sleep(ctx, watchEvery) {
+	for pause.For(ctx, watchEvery) {
 		host, term := t.cfg.Leader()
 		if host != t.cfg.Host {
 			term = 0
@@ -201,17 +202,6 @@
 	clear(t.granted)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // call calls a host, or the own handler when host is this one.
 func (t *Table) call(ctx context.Context, host, method string, in renewRequest, out *renewReply) error {
 	body, err := carawayshift.Encode(in)
