dispatcher: a refused connection proves nothing about a runner

Behind a cut that resets connections, runners looked as if nobody listened at their address; their runs were given up and started elsewhere while they went on, and an end that was listed later was acknowledged.

Ruled out: the calculation of the lease's end; the runs were given up before.

Change: the runs of a runner that does not answer are lost only once its leases have ended, or another life answers. The session stays and asks on, so that no new lease is given before the old one is over.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -60,6 +60,8 @@
 	// staleReports is how many heartbeats may be missing before a runner gets
 	// no new work.
 	staleReports = 3
+	// forgetReports is how many must be missing before it is forgotten.
+	forgetReports = 20
 )
 
 // Config configures a Dispatcher.
--- a/internal/dispatcher/history_test.go
+++ b/internal/dispatcher/history_test.go
@@ -144,6 +144,10 @@
 			time.AfterFunc(time.Duration(r.random()*float64(12*time.Second)), func() { r.net.setCut(id, false) })
 		case x < 0.9:
 			r.elect(ctx)
+		case x < 0.97:
+			id := fmt.Sprintf("i-%d", int(r.random()*5))
+			r.net.setRefuse(id, true)
+			time.AfterFunc(time.Duration(r.random()*float64(5*time.Second)), func() { r.net.setRefuse(id, false) })
 		}
 		time.Sleep(time.Duration(r.random() * float64(1500*time.Millisecond)))
 	}
--- a/internal/dispatcher/hold.go
+++ b/internal/dispatcher/hold.go
@@ -36,15 +36,15 @@
 	}
 }
 
-// work tells whether a run needs its lease, and whether ends wait for their
-// acknowledgement.
+// work tells whether a run needs its lease, and whether a short call is due:
+// ends wait for their acknowledgement, or the runner has not answered.
 func (s *session) work() (busy, ack bool) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	for _, r := range s.runs {
 		busy = busy || !r.settled.IsZero()
 	}
-	return busy, s.recorded > s.acked
+	return busy, s.recorded > s.acked || s.unanswered
 }
 
 func (s *session) hold(wait time.Duration) (carawayshift.AgentStatus, error) {
@@ -69,27 +69,35 @@
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	s.acked = max(s.acked, seen)
-	s.refused, s.unanswered = 0, false
+	s.unanswered = false
 	s.noteClock(st.Clock)
 	return st, nil
 }
 
 // missed handles a hold without an answer. Once the leases have certainly
-// ended, the runner's runs are lost.
+// ended, the runner's runs are lost; the runner is asked on until it answers.
 func (s *session) missed(err error) {
 	if s.judge(err) {
 		return
 	}
-	s.log.WithError(err).WithField("event", "hold failed").Warn("runner did not answer")
 	s.t.mu.Lock()
+	first := !s.unanswered
 	s.unanswered = true
-	lapsed := s.clockLow(time.Now()) > s.until+s.t.d.cfg.Timing.Stop
-	s.t.mu.Unlock()
+	lapsed := len(s.runs) > 0 && s.clockLow(time.Now()) > s.until+s.t.d.cfg.Timing.Stop
+	runs := len(s.runs)
 	if lapsed {
-		s.t.drop(s, "its leases have expired")
-		return
+		s.giveUp()
+	}
+	s.t.mu.Unlock()
+	entry := s.log.WithError(err).WithFields(logrus.Fields{"event": "hold failed", "runs": runs, "lapsed": lapsed})
+	if first || lapsed {
+		entry.Warn("runner does not answer")
+	}
+	wait := retryPause
+	if runs == 0 || lapsed {
+		wait = probePause
 	}
-	pause.For(s.ctx, refusalPause)
+	pause.For(s.ctx, wait)
 }
 
 // heard takes a runner's lists: ends go to the log, runs that are not listed
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -75,6 +75,8 @@
 	// are carried out later besides.
 	lose, late float64
 	cut        map[string]bool
+	// refuse holds the runners whose connections are reset on the way.
+	refuse map[string]bool
 }
 
 var errSilent = errors.New("no answer")
@@ -85,7 +87,7 @@
 		changed: make(chan struct{}), running: map[carawayshift.TaskName]int{},
 		ended: map[carawayshift.TaskName][]carawayshift.RunEnding{}, need: map[string]carawayshift.Step{},
 	}
-	r.net = &network{rig: r, cut: map[string]bool{}}
+	r.net = &network{rig: r, cut: map[string]bool{}, refuse: map[string]bool{}}
 	gangs := agent.NewGangs()
 	for i := range runners {
 		id := fmt.Sprintf("i-%d", i)
@@ -278,6 +280,23 @@
 	return n.cut[id]
 }
 
+func (n *network) setRefuse(id string, refuse bool) {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	n.refuse[id] = refuse
+}
+
+// refused is the error of a connection that is reset on the way, which says
+// nothing about the runner.
+func (n *network) refused(id string) error {
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	if n.refuse[id] {
+		return carawayshift.NewError(carawayshift.NotRun, "connection refused", "")
+	}
+	return nil
+}
+
 func (n *network) setCut(id string, cut bool) {
 	n.rig.mu.Lock()
 	defer n.rig.mu.Unlock()
@@ -291,6 +310,9 @@
 		return errSilent
 	}
 	time.Sleep(5 * time.Millisecond)
+	if err := n.refused(id); err != nil {
+		return err
+	}
 	n.rig.mu.Lock()
 	late, lose := n.late, n.lose
 	n.rig.mu.Unlock()
@@ -339,6 +361,9 @@
 		<-ctx.Done()
 		return st, errSilent
 	}
+	if err := n.refused(o.Agent.ID); err != nil {
+		return st, err
+	}
 	return n.rig.agents[o.Agent.ID].Hold(ctx, o, seen, until, wait)
 }
 
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -17,10 +17,10 @@
 	avoidAfterRefusal = 500 * time.Millisecond
 	// avoidSick keeps new work off a runner that says it is unhealthy.
 	avoidSick = 2 * time.Second
-	// deadRefusals is how many connections in a row must be refused before a
-	// runner counts as ended, and refusalPause the time between them.
-	deadRefusals = 3
-	refusalPause = 150 * time.Millisecond
+	// retryPause keeps calls to a runner that does not answer apart, and
+	// probePause those to one on which nothing runs.
+	retryPause = 150 * time.Millisecond
+	probePause = time.Second
 	// startTries bounds how often a start without an answer is sent again
 	// before the run is given up.
 	startTries = 3
@@ -45,7 +45,6 @@
 	// listed is the highest number of an end that was heard of, recorded the
 	// highest one that is committed, acked the highest one acknowledged.
 	listed, recorded, acked uint64
-	refused                 int
 	wake                    chan struct{}
 	ctx                     context.Context
 	cancel                  context.CancelFunc
@@ -136,7 +135,7 @@
 // usable returns the runner when it may get new work. It needs t.mu.
 func (s *session) usable(now time.Time) (carawayshift.Agent, bool) {
 	fresh := now.Sub(s.seen) < staleReports*s.t.d.cfg.Timing.Heartbeat
-	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && s.refused == 0 && !s.unanswered && !s.t.d.probation.Out(s.agent.ID, now)
+	return s.agent, fresh && !s.agent.Leaving && now.After(s.avoid) && !s.unanswered && !s.t.d.probation.Out(s.agent.ID, now)
 }
 
 func (s *session) poke() {
@@ -153,6 +152,11 @@
 	}
 	s.cancel()
 	s.log.WithFields(logrus.Fields{"event": "runner gone", "reason": why, "runs": len(s.runs)}).Info("runner has ended")
+	s.giveUp()
+}
+
+// giveUp records all runs of the session as lost. It needs t.mu.
+func (s *session) giveUp() {
 	for task, r := range s.runs {
 		if !r.ended {
 			s.t.queueEnd(carawayshift.RunEnd{Task: task, Run: r.run, Ending: carawayshift.RunLost, Checkpoint: r.checkpoint}, nil)
@@ -336,8 +340,11 @@
 	s.t.mu.Unlock()
 	for s.ctx.Err() == nil {
 		s.t.mu.Lock()
-		order := s.order()
+		order, given := s.order(), s.runs[task] != r
 		s.t.mu.Unlock()
+		if given {
+			return
+		}
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		clock, err := s.t.d.cfg.Client.Stop(ctx, order, task, n)
 		cancel()
@@ -352,12 +359,13 @@
 			return
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "order failed", "task": task.String(), "run": n}).Warn("stop not confirmed")
-		pause.For(s.ctx, refusalPause)
+		pause.For(s.ctx, retryPause)
 	}
 }
 
 // judge draws the conclusion from a failed call and reports whether the
-// session or the tenure is over.
+// session or the tenure is over. A connection that is refused proves nothing:
+// it may have been reset on the way to a runner that works on.
 func (s *session) judge(err error) bool {
 	var refusal *carawayshift.RefusalError
 	switch {
@@ -371,18 +379,5 @@
 		s.t.drop(s, "another life answers at its address")
 		return true
 	}
-	s.t.mu.Lock()
-	defer s.t.mu.Unlock()
-	if carawayshift.KindOf(err) != carawayshift.NotRun {
-		return false
-	}
-	s.refused++
-	if s.refused < deadRefusals {
-		return false
-	}
-	s.close("nobody listens at its address")
-	if s.t.sessions[s.agent.ID] == s {
-		delete(s.t.sessions, s.agent.ID)
-	}
-	return true
+	return false
 }
--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -144,6 +144,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.dropSilent(now)
 	for _, s := range t.sessions {
 		if a, ok := s.usable(now); ok {
 			l.Agents = append(l.Agents, a)
@@ -176,6 +177,17 @@
 	return l
 }
 
+// dropSilent forgets runners that have not reported for long and on which
+// nothing runs. It needs t.mu.
+func (t *tenure) dropSilent(now time.Time) {
+	for id, s := range t.sessions {
+		if len(s.runs) == 0 && now.Sub(s.seen) > forgetReports*t.d.cfg.Timing.Heartbeat {
+			s.close("it has not reported for a while")
+			delete(t.sessions, id)
+		}
+	}
+}
+
 // foretell sets the expected end of a run by its progress, and reports whether
 // it stands still. It needs t.mu.
 func (t *tenure) foretell(h *carawayshift.Holding, now time.Time) (stalled bool) {
