--- a/pkg/dispatch/play_test.go
+++ b/pkg/dispatch/play_test.go
@@ -62,7 +62,6 @@
 	class    *class
 	accepted time.Time
 	chain    time.Duration
-	slow     bool
 }
 
 type event struct {
