--- a/internal/dispatcher/tenure.go
+++ b/internal/dispatcher/tenure.go
@@ -36,7 +36,7 @@
 	emptying map[string]bool
 	upkept   map[waveMachine]bool
 	wg       sync.WaitGroup
-	// recorded is signalled when ends wait for their commit.
+	// ended is signalled when ends wait for their commit.
 	ended chan struct{}
 }
 
@@ -227,7 +227,7 @@
 			continue
 		}
 		if time.Since(t.began) > t.lapse() {
-			t.report1(carawayshift.RunEnd{Task: h.Task, Run: h.Run, Ending: carawayshift.RunLost, Checkpoint: h.Checkpoint}, nil)
+			t.reportEnd(carawayshift.RunEnd{Task: h.Task, Run: h.Run, Ending: carawayshift.RunLost, Checkpoint: h.Checkpoint}, nil)
 		}
 	}
 }
@@ -328,8 +328,8 @@
 	}
 }
 
-// report1 queues an end for its commit.
-func (t *tenure) report1(e carawayshift.RunEnd, done func()) {
+// reportEnd queues an end for its commit.
+func (t *tenure) reportEnd(e carawayshift.RunEnd, done func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.queueEnd(e, done)
