Test tickets, waves of upkeep and the calls to the platform's services

Cause: advice and upkeep had tables for their decisions only.

Change: an advisor and a machines' service in paused time: a step with tickets ran on the one runner that has them, five machines with a limit of two went down two at a time at most and the wave completed; wire tests of both services.

--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -37,6 +37,11 @@
 	faults  []string
 	need    map[string]carawayshift.Step
 	leaders []*Dispatcher
+	// advisor and machines are the platform's services, nil for none.
+	advisor  carawayshift.Advisor
+	machines carawayshift.Machines
+	// tickets holds the ticket of each start by its task.
+	tickets map[carawayshift.TaskName]string
 	// trace holds the log lines of all leaders and of the runners.
 	trace trace
 }
@@ -94,7 +99,7 @@
 		r.agents[id] = agent.New(agent.Config{
 			Agent: carawayshift.Agent{
 				ID: id, Life: 1, Service: "fit", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i%2),
-				Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
+				Machine: "m-" + id, Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
 			},
 			Work: r.work, Gang: r.gangOf, Gangs: gangs, Begun: r.begun, Over: r.over,
 			Stop: 300 * time.Millisecond, Alone: 3 * time.Second, Lease: rigTiming.Lease,
@@ -191,6 +196,7 @@
 		Host: fmt.Sprintf("c%d", term), Log: leaderLog{r, term}, Term: func() (uint64, bool, <-chan struct{}) { return r.leads(term) },
 		Table: r.machine.Batches(), Closed: func() map[string]bool { return nil },
 		Planner: dispatch.New(dispatch.Config{}), Client: r.net, Timing: rigTiming, Logger: log,
+		Advisor: r.advisor, Machines: r.machines,
 	})
 	r.mu.Lock()
 	r.leaders = append(r.leaders, d)
@@ -233,14 +239,16 @@
 	}
 }
 
-func (r *rig) submit(id string, need carawayshift.Step) {
+func (r *rig) submit(id string, need carawayshift.Step) { r.submitTo(id, need, false) }
+
+func (r *rig) submitTo(id string, need carawayshift.Step, advised bool) {
 	r.mu.Lock()
 	r.need[id] = need
 	var a carawayshift.Answer
 	err := r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
 		Submit: &carawayshift.Batch{
 			ID: id, Team: "carnival", Steps: []carawayshift.Step{need},
-			Queue: carawayshift.Queue{Name: "q", Service: "fit", Priority: 1, Attempts: 3, Stretch: 3},
+			Queue: carawayshift.Queue{Name: "q", Service: "fit", Priority: 1, Attempts: 3, Stretch: 3, Advised: advised},
 		},
 	}}, &a)
 	r.mu.Unlock()
@@ -339,6 +347,11 @@
 }
 
 func (n *network) Start(ctx context.Context, o carawayshift.AgentOrder, s carawayshift.RunOrder) (clock time.Duration, err error) {
+	n.rig.mu.Lock()
+	if n.rig.tickets != nil {
+		n.rig.tickets[s.Task] = s.Ticket
+	}
+	n.rig.mu.Unlock()
 	err = n.carry(ctx, o.Agent.ID, func() error {
 		var err error
 		clock, err = n.rig.agents[o.Agent.ID].Start(context.Background(), o, s)
--- /dev/null
+++ b/internal/dispatcher/services_test.go
@@ -0,0 +1,133 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+// advisor allows one runner and counts the calls.
+type advisor struct {
+	mu    sync.Mutex
+	good  string
+	calls int
+}
+
+func (a *advisor) Advise(_ context.Context, _ carawayshift.TaskName, runners []string) ([]carawayshift.Ticket, time.Duration, error) {
+	time.Sleep(50 * time.Millisecond)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	for _, r := range runners {
+		if r == a.good {
+			return []carawayshift.Ticket{{Runner: r, Text: "ticket-" + r}}, 3 * time.Second, nil
+		}
+	}
+	return nil, 3 * time.Second, nil
+}
+
+// machines are five machines that are away for two seconds at their upkeep.
+type machines struct {
+	mu   sync.Mutex
+	back map[string]time.Time
+	most int
+	// orders counts the orders for each machine.
+	orders map[string]int
+}
+
+var machineNames = []string{"m-i-0", "m-i-1", "m-i-2", "m-i-3", "m-i-4"}
+
+func (m *machines) List(context.Context) ([]carawayshift.Machine, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []carawayshift.Machine
+	for _, name := range machineNames {
+		state := carawayshift.MachineUp
+		if time.Now().Before(m.back[name]) {
+			state = "upkeep"
+		}
+		list = append(list, carawayshift.Machine{Name: name, Pool: "fit", State: state, Runner: name[2:]})
+	}
+	return list, nil
+}
+
+func (m *machines) Upkeep(_ context.Context, _ string, _ uint64, machine string, _ int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.orders[machine]++
+	if m.orders[machine] > 1 {
+		return nil
+	}
+	m.back[machine] = time.Now().Add(2 * time.Second)
+	down := 0
+	for _, at := range m.back {
+		if time.Now().Before(at) {
+			down++
+		}
+	}
+	m.most = max(m.most, down)
+	return nil
+}
+
+// playWith is play with the platform's services.
+func playWith(t *testing.T, a carawayshift.Advisor, m carawayshift.Machines, fn func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute) // timers of the stand-ins
+		}()
+		r := newRig(t, 1, 5)
+		r.advisor, r.machines, r.tickets = a, m, map[carawayshift.TaskName]string{}
+		r.elect(ctx)
+		r.beat(ctx)
+		time.Sleep(2 * time.Second)
+		fn(r)
+	})
+}
+
+func TestAdvisedStepRunsOnlyWithTickets(t *testing.T) {
+	a := &advisor{good: "i-3"}
+	playWith(t, a, nil, func(r *rig) {
+		o := NewWithT(t)
+		r.submitTo("b", single(6), true)
+		time.Sleep(30 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		o.Expect(r.tickets).To(HaveLen(6))
+		for task, text := range r.tickets {
+			o.Expect(text).To(Equal("ticket-i-3"), task.String())
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		o.Expect(a.calls).To(BeNumerically("<", 20), "runners that were refused are not named again")
+	})
+}
+
+func TestWaveKeepsItsLimitAndCompletes(t *testing.T) {
+	m := &machines{back: map[string]time.Time{}, orders: map[string]int{}}
+	playWith(t, nil, m, func(r *rig) {
+		o := NewWithT(t)
+		r.mu.Lock()
+		var a carawayshift.Answer
+		o.Expect(r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
+			Wave: &carawayshift.Wave{ID: 1, Machines: machineNames, Due: time.Now().Add(40 * time.Second), Limit: 2},
+		}}, &a)).To(Succeed())
+		r.mu.Unlock()
+		time.Sleep(40 * time.Second)
+		waves := r.machine.Batches().Waves()
+		o.Expect(waves).To(HaveLen(1))
+		o.Expect(waves[0].Complete()).To(BeTrue())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		o.Expect(m.most).To(BeNumerically("<=", 2))
+		o.Expect(m.orders).To(HaveLen(5))
+	})
+}
