review: case 1, tasks run again after more than 500 ends

Cause: a runner lists its ends 500 at a time, and the dispatcher records runs as lost that a list names neither as running nor as ended.

--- /dev/null
+++ b/review/standin/case_ends.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() { cases["ends"] = manyEnds }
+
+// manyEnds: one of six runners has 700 short tasks. It is cut off for 3.5 s, less than its
+// lease, while they end. Its next list of ends holds 500 of them.
+func manyEnds(d *deployment, trouble bool) (bool, error) {
+	const jobs, width = 10, 70
+	fleet := d.newFleet()
+	links := map[string]*link{}
+	for k := range 6 {
+		r := runnerConfig{
+			ID: fmt.Sprintf("i-7f3a91c%d", k), Service: service, Zone: zones[k/2], Rack: rackName(k / 2),
+			Listen: fmt.Sprintf("%s:9100", d.ip(2, k+1)), Address: fmt.Sprintf("%s:9100", d.ip(2, k+101)), CPU: 128000, MemMB: 262144, GPU: 8,
+		}
+		l := newLink()
+		links[r.ID] = l
+		if err := l.serve(r.Address, r.Listen); err != nil {
+			return false, unable("%w", err)
+		}
+		for i := range 3 { // its reports pass through the link as well
+			from := fmt.Sprintf("%s:%d", d.ip(4, 10*k+i+1), controlPort)
+			if err := l.serve(from, d.control(i)); err != nil {
+				return false, unable("%w", err)
+			}
+			r.Control = append(r.Control, from)
+		}
+		fleet.Runners = append(fleet.Runners, r)
+	}
+	ids := []string{}
+	for i := range jobs {
+		id := fmt.Sprintf("5c0e7a21d94b36%02x", i)
+		ids = append(ids, id)
+		fleet.Jobs[id] = jobSpec{Steps: []stepSpec{{Count: width, CPU: 100, MemMB: 100, WorkMs: 1500, SpreadMs: 1500}}}
+	}
+	if err := d.begin(fleet, desiredState(1, 1)); err != nil {
+		return false, err
+	}
+	for _, id := range ids {
+		if err := d.submit(id, jobBody([]map[string]any{{"count": width, "cpu": 100, "mem_mb": 100, "est_runtime_ms": 2500}})); err != nil {
+			return false, err
+		}
+	}
+	if !d.awaitCount("started", jobs*width, 15*time.Second) {
+		return false, unable("only %d tasks began", d.count("started"))
+	}
+	if trouble {
+		time.Sleep(300 * time.Millisecond)
+		busy := d.events()[0].Runner
+		d.rec.printf("runner %s is cut off", busy)
+		links[busy].set(true)
+		time.Sleep(cutTime)
+		links[busy].set(false)
+		d.rec.printf("runner %s is reached again; %d tasks have ended", busy, d.count("ended"))
+	}
+	for _, id := range ids {
+		d.awaitState(id, "completed", 20*time.Second)
+	}
+	time.Sleep(2 * time.Second)
+	together, after := d.twice()
+	d.rec.printf("leases that expired: %d; runs beside another run: %d; runs after an acknowledged end done: %d", d.count("lease expired"), together, after)
+	return together+after > 0, nil
+}
+
+// cutTime is within the 5.5 s for which the pages cut workers off, and less than a lease.
+const cutTime = 3500 * time.Millisecond
