--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -61,6 +61,8 @@
 	Persistent bool  `json:"persistent"`
 	WorkMs     int64 `json:"work_ms"`
 	SpreadMs   int64 `json:"spread_ms"`
+	// FailMs is after how long each run fails by the task's own fault, 0 for never.
+	FailMs int64 `json:"fail_ms"`
 }
 
 // fleet is a set of runners that follow PROTOCOL.md.
@@ -322,6 +324,12 @@
 	w.tasks[name] = t
 	w.f.log(event{Kind: "started", Runner: w.cfg.ID, Task: name, Run: run})
 	switch {
+	case s.FailMs > 0:
+		t.timer = time.AfterFunc(time.Duration(s.FailMs+s.SpreadMs*int64(index)/int64(max(s.Count, 1)))*time.Millisecond, func() {
+			w.f.mu.Lock()
+			defer w.f.mu.Unlock()
+			w.end(t, "failed")
+		})
 	case s.Persistent:
 	case s.Gang:
 		key := fmt.Sprint(name[:strings.LastIndex(name, ".")], " ", run)
