--- a/review/standin/case_ends.go
+++ b/review/standin/case_ends.go
@@ -7,10 +7,10 @@
 
 func init() { cases["ends"] = manyEnds }
 
-// manyEnds: one of six runners has 700 short tasks. It is cut off for 3.5 s, less than its
+// manyEnds: one of six runners has 700 small tasks. It is cut off for 3.5 s, less than its
 // lease, while they end. Its next list of ends holds 500 of them.
 func manyEnds(d *deployment, trouble bool) (bool, error) {
-	const jobs, width = 10, 70
+	const jobs, width = 14, 50
 	fleet := d.newFleet()
 	links := map[string]*link{}
 	for k := range 6 {
@@ -36,21 +36,24 @@
 	for i := range jobs {
 		id := fmt.Sprintf("5c0e7a21d94b36%02x", i)
 		ids = append(ids, id)
-		fleet.Jobs[id] = jobSpec{Steps: []stepSpec{{Count: width, CPU: 100, MemMB: 100, WorkMs: 1500, SpreadMs: 1500}}}
+		// All end within about a second.
+		work := int64(8000 - 300*i)
+		fleet.Jobs[id] = jobSpec{Steps: []stepSpec{{Count: width, CPU: 100, MemMB: 100, WorkMs: work, SpreadMs: 1000}}}
 	}
 	if err := d.begin(fleet, desiredState(1, 1)); err != nil {
 		return false, err
 	}
 	for _, id := range ids {
-		if err := d.submit(id, jobBody([]map[string]any{{"count": width, "cpu": 100, "mem_mb": 100, "est_runtime_ms": 2500}})); err != nil {
+		if err := d.submit(id, jobBody([]map[string]any{{"count": width, "cpu": 100, "mem_mb": 100, "est_runtime_ms": 6000}})); err != nil {
 			return false, err
 		}
+		time.Sleep(300 * time.Millisecond) // so that the starts need fewer channels than a runner takes
 	}
 	if !d.awaitCount("started", jobs*width, 15*time.Second) {
 		return false, unable("only %d tasks began", d.count("started"))
 	}
 	if trouble {
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(2200 * time.Millisecond)
 		busy := d.events()[0].Runner
 		d.rec.printf("runner %s is cut off", busy)
 		links[busy].set(true)
@@ -63,7 +66,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	together, after := d.twice()
-	d.rec.printf("leases that expired: %d; runs beside another run: %d; runs after an acknowledged end done: %d", d.count("lease expired"), together, after)
+	d.rec.printf("channels refused: %d; leases that expired: %d; runs beside another run: %d; runs after an acknowledged end done: %d", d.count("channel refused"), d.count("lease expired"), together, after)
 	return together+after > 0, nil
 }
 
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -148,7 +149,9 @@
 		if err != nil {
 			return err
 		}
-		go func() { _ = (&http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}).Serve(l) }()
+		go func() {
+			_ = (&http.Server{Handler: w, ReadHeaderTimeout: 5 * time.Second}).Serve(&limited{Listener: l, w: w})
+		}()
 		go w.report()
 	}
 	mux := http.NewServeMux()
@@ -156,6 +159,44 @@
 	return (&http.Server{Addr: cfg.Admin, Handler: mux, ReadHeaderTimeout: 5 * time.Second}).ListenAndServe()
 }
 
+// maxChannels is the number of channels that a runner takes.
+const maxChannels = 64
+
+// limited closes channels beyond maxChannels.
+type limited struct {
+	net.Listener
+	w    *worker
+	open atomic.Int64
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= maxChannels {
+			return &counted{Conn: c, l: l}, nil
+		}
+		l.open.Add(-1)
+		_ = c.Close()
+		l.w.f.mu.Lock()
+		l.w.f.log(event{Kind: "channel refused", Runner: l.w.cfg.ID})
+		l.w.f.mu.Unlock()
+	}
+}
+
+type counted struct {
+	net.Conn
+	l    *limited
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.l.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // event is one line of the record: what a runner saw.
 type event struct {
 	At     int64  `json:"at_ms"`
