--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -379,6 +379,13 @@
 		}
 		g := w.f.gangs[key]
 		g[name] = t
+		t.timer = time.AfterFunc(gangTimeout, func() {
+			w.f.mu.Lock()
+			defer w.f.mu.Unlock()
+			if t.working.IsZero() {
+				w.end(t, "alone")
+			}
+		})
 		if len(g) == s.Count {
 			for _, member := range g {
 				member.working = time.Now()
@@ -396,6 +403,19 @@
 	return 200, ""
 }
 
+// gangTimeout is how long a member of a gang waits for the others.
+const gangTimeout = 3 * time.Second
+
+// breakGang ends the other members of a gang that is at work. The caller holds f.mu.
+func (f *fleet) breakGang(t *task) {
+	key := fmt.Sprint(t.name[:strings.LastIndex(t.name, ".")], " ", t.run)
+	for _, member := range f.gangs[key] {
+		if member != t && !member.working.IsZero() {
+			member.w.end(member, "broken")
+		}
+	}
+}
+
 func (f *fleet) endGang(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -426,6 +446,9 @@
 	w.f.log(event{Kind: "ended", Runner: w.cfg.ID, Task: t.name, Run: t.run, How: how, N: w.lastN})
 	close(w.changed)
 	w.changed = make(chan struct{})
+	if t.step.Gang && !t.working.IsZero() && how != "done" && how != "broken" {
+		w.f.breakGang(t)
+	}
 }
 
 // stop carries out an order to stop. The caller holds f.mu.
