--- a/review/standin/case_ends.go
+++ b/review/standin/case_ends.go
@@ -14,22 +14,11 @@
 	fleet := d.newFleet()
 	links := map[string]*link{}
 	for k := range 6 {
-		r := runnerConfig{
-			ID: fmt.Sprintf("i-7f3a91c%d", k), Service: service, Zone: zones[k/2], Rack: rackName(k / 2),
-			Listen: fmt.Sprintf("%s:9100", d.ip(2, k+1)), Address: fmt.Sprintf("%s:9100", d.ip(2, k+101)), CPU: 128000, MemMB: 262144, GPU: 8,
+		r, l, err := d.linkedRunner(k)
+		if err != nil {
+			return false, err
 		}
-		l := newLink()
 		links[r.ID] = l
-		if err := l.serve(r.Address, r.Listen); err != nil {
-			return false, unable("%w", err)
-		}
-		for i := range 3 { // its reports pass through the link as well
-			from := fmt.Sprintf("%s:%d", d.ip(4, 10*k+i+1), controlPort)
-			if err := l.serve(from, d.control(i)); err != nil {
-				return false, unable("%w", err)
-			}
-			r.Control = append(r.Control, from)
-		}
 		fleet.Runners = append(fleet.Runners, r)
 	}
 	ids := []string{}
@@ -70,5 +59,25 @@
 	return together+after > 0, nil
 }
 
+// linkedRunner returns the k-th runner, which all others reach through a link.
+func (d *deployment) linkedRunner(k int) (runnerConfig, *link, error) {
+	r := runnerConfig{
+		ID: fmt.Sprintf("i-7f3a91c%d", k), Service: service, Zone: zones[k/2], Rack: rackName(k / 2),
+		Listen: fmt.Sprintf("%s:9100", d.ip(2, k+1)), Address: fmt.Sprintf("%s:9100", d.ip(2, k+101)), CPU: 128000, MemMB: 262144, GPU: 8,
+	}
+	l := newLink()
+	if err := l.serve(r.Address, r.Listen); err != nil {
+		return r, l, unable("%w", err)
+	}
+	for i := range 3 { // its reports pass through the link as well
+		from := fmt.Sprintf("%s:%d", d.ip(4, 10*k+i+1), controlPort)
+		if err := l.serve(from, d.control(i)); err != nil {
+			return r, l, unable("%w", err)
+		}
+		r.Control = append(r.Control, from)
+	}
+	return r, l, nil
+}
+
 // cutTime is within the 5.5 s for which the pages cut workers off, and less than a lease.
 const cutTime = 3500 * time.Millisecond
