--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -14,7 +14,7 @@
 	routePath  = "/lohu930/"
 	tenantKey  = "d4a3hwrr6x73d3zji9n7"
 	service    = "huvo11a"
-	maxRunTime = 110 * time.Second
+	maxRunTime = 118 * time.Second
 )
 
 // desiredState returns a desired state with one route. priority is that of the route.
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -23,7 +23,10 @@
 	root, dir, bin, self string
 	net                  int
 	rec                  *record
-	cmds                 map[string]*exec.Cmd
+
+	mu     sync.Mutex
+	cmds   map[string]*exec.Cmd
+	closed bool
 }
 
 // record is the file record.txt of a case.
@@ -160,6 +163,11 @@
 	}
 	defer log.Close()
 	cmd.Stdout, cmd.Stderr = log, log
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return unable("the script was ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -181,8 +189,14 @@
 	return d.start("runners", d.self, "runners", file)
 }
 
-// close ends all processes and copies the events of the runners into the record.
+// close ends all processes and removes the temporary folder.
 func (d *deployment) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return
+	}
+	d.closed = true
 	for _, cmd := range d.cmds {
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // A case returns true if the rule was broken. trouble is false when the disruption is to
@@ -41,6 +44,7 @@
 		return 2
 	}
 	defer d.close()
+	go d.endEarly()
 	broken, err := fn(d, os.Getenv("TROUBLE") != "0")
 	d.copyEvents()
 	switch {
@@ -58,6 +62,19 @@
 	return 0
 }
 
+// endEarly ends the processes if the script is ended by a signal or takes too long.
+func (d *deployment) endEarly() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-ended:
+	case <-time.After(maxRunTime):
+	}
+	d.rec.printf("RESULT: the script was ended early")
+	d.close()
+	os.Exit(2)
+}
+
 func unable(format string, args ...any) error {
 	return errors.Join(errUnable, fmt.Errorf(format, args...))
 }
