--- a/agent.go
+++ b/agent.go
@@ -74,7 +74,11 @@
 	Clock       time.Duration
 	Incarnation int64
 	Running     []RunReport
-	Ended       []EndReport
+	// Ended lists the ends that were not acknowledged, in the order of their
+	// numbers. MoreEnds is true if the runner may have further ones, with higher
+	// numbers: it lists only so many at a time.
+	Ended    []EndReport
+	MoreEnds bool
 }
 
 // Refusal is the reason why a runner refused to start a run.
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -224,7 +224,9 @@
 	close(done)
 }
 
-// reconcile compares the runner's list of runs with the session's.
+// reconcile compares the runner's list of runs with the session's. While the runner
+// has ends that it did not list, a run that is missing may be one of them, so that
+// nothing is decided about it yet.
 func (s *session) reconcile(st carawayshift.AgentStatus, sent time.Time) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -242,11 +244,15 @@
 	}
 	s.adjustThrottle(st)
 	for task, r := range s.runs {
+		present := listed[task] == r.number
+		if !present && st.MoreEnds {
+			continue
+		}
 		if r.undecided() {
-			s.decideAdopted(task, r, listed[task] == r.number)
+			s.decideAdopted(task, r, present)
 			continue
 		}
-		if listed[task] == r.number || r.ended || r.confirmed.IsZero() || !r.confirmed.Before(sent) {
+		if present || r.ended || r.confirmed.IsZero() || !r.confirmed.Before(sent) {
 			continue
 		}
 		s.log.WithFields(logrus.Fields{"event": "run missing", "task": task.String(), "run": r.number}).Warn("runner does not list the run; recording it as lost")
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -146,12 +146,15 @@
 				Machine: "m-" + id, Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
 			},
 			Work: r.work, Gang: r.gangOf, Gangs: gangs, OnStart: r.onStart, OnEnd: r.onEnd, OnAcknowledge: r.onAcknowledge,
-			StopDuration: 300 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLease: rigTiming.Lease,
+			StopDuration: 300 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLease: rigTiming.Lease, MaxEnds: rigMaxEnds,
 		})
 	}
 	return r
 }
 
+// rigMaxEnds is the number of ends that a simulated runner lists at a time.
+const rigMaxEnds = 4
+
 var rigTiming = Timing{
 	Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Retention: time.Hour,
 	Stop: 400 * time.Millisecond, ReadyDelay: 5 * time.Second, Maintenance: 2 * time.Second,
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -36,7 +36,9 @@
 	// gang waits for the others, MaxLease the maximum length of a lease (0 for
 	// none).
 	StopDuration, GangTimeout, MaxLease time.Duration
-	Gangs                               *Gangs
+	// MaxEnds is the number of ends that a status lists at a time, 0 for all.
+	MaxEnds int
+	Gangs   *Gangs
 	// OnStart and OnEnd are called when a run starts to occupy the runner, which
 	// for the member of a gang is before the gang is complete, and when it ends.
 	// No lock is held during the call.
@@ -336,7 +338,12 @@
 		}
 		st.Running = append(st.Running, carawayshift.RunReport{Task: task, Run: r.number, Percent: percent})
 	}
-	st.Ended = append(st.Ended, a.ended...)
+	n := len(a.ended)
+	if a.cfg.MaxEnds > 0 {
+		n = min(n, a.cfg.MaxEnds)
+	}
+	st.Ended = append(st.Ended, a.ended[:n]...)
+	st.MoreEnds = a.cfg.MaxEnds > 0 && n == a.cfg.MaxEnds
 	return st
 }
 
