--- a/internal/dispatcher/history_test.go
+++ b/internal/dispatcher/history_test.go
@@ -443,39 +443,3 @@
 		o.Expect(planner.plans.Load() - before).To(BeNumerically("<=", int(span/planInterval)+1))
 	})
 }
-
-// A runner that starts where another one was takes over its address.
-func TestAddressBelongsToNewestRunner(t *testing.T) {
-	older := carawayshift.Agent{ID: "i-a", Incarnation: 1, Sequence: 1, Service: "fit", Zone: "z0", Address: "x"}
-	newer := carawayshift.Agent{ID: "i-b", Incarnation: 2, Sequence: 1, Service: "fit", Zone: "z0", Address: "x"}
-	moved := older
-	moved.Sequence, moved.Address = 2, "y"
-	tests := []struct {
-		name    string
-		reports []carawayshift.Agent
-		known   []string
-	}{
-		{"the newer one reports last", []carawayshift.Agent{older, newer}, []string{"i-b"}},
-		{"the older one reports last", []carawayshift.Agent{newer, older}, []string{"i-b"}},
-		{"the older one has moved", []carawayshift.Agent{older, moved, newer}, []string{"i-a", "i-b"}},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			play(t, 1, 0, func(_ context.Context, r *rig) {
-				time.Sleep(time.Second)
-				term := r.leader().current()
-				for _, a := range tt.reports {
-					term.report(a)
-				}
-				term.mu.Lock()
-				defer term.mu.Unlock()
-				var known []string
-				for id := range term.sessions {
-					known = append(known, id)
-				}
-				NewWithT(t).Expect(known).To(ConsistOf(tt.known))
-				NewWithT(t).Expect(term.addresses).To(HaveLen(len(tt.known)))
-			})
-		})
-	}
-}
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -31,6 +31,8 @@
 	sessions map[string]*session // by runner id
 	// addresses holds the session that last reported each address.
 	addresses map[string]*session
+	// verifying holds the ids of the runners whose report is being verified.
+	verifying map[string]bool
 	// left holds the last exit of each runner, so that late reports are ignored.
 	left map[string]exit
 	// stopping holds the runs whose stop was requested.
@@ -59,7 +61,7 @@
 	t := &leaderTerm{
 		d: d, term: term, started: time.Now(), resign: resign,
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
-		sessions: map[string]*session{}, addresses: map[string]*session{}, left: map[string]exit{}, stopping: map[carawayshift.TaskName]int{},
+		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{}, stopping: map[carawayshift.TaskName]int{},
 		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{},
 		requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
 	}
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -332,6 +332,14 @@
 	}
 }
 
+// at returns the runner at an address, which is its id unless another runner has taken
+// its place.
+func (r *rig) at(address string) *agent.Agent {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.agents[address]
+}
+
 func (r *rig) isMute(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -396,6 +404,15 @@
 	}
 }
 
+func (r *rig) replaceCatalog(c carawayshift.Catalog) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var a carawayshift.Answer
+	if err := r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{Catalog: &c}}, &a); err != nil {
+		r.t.Error(err)
+	}
+}
+
 func (r *rig) cancel(id string) {
 	r.mu.Lock()
 	var a carawayshift.Answer
@@ -437,11 +454,11 @@
 }
 
 // refused returns the error of a connection that was reset on the way, which
-// does not show whether the runner is up.
+// does not show whether the runner is up, or to an address without a runner.
 func (n *network) refused(id string) error {
 	n.rig.mu.Lock()
 	defer n.rig.mu.Unlock()
-	if n.refuse[id] {
+	if n.refuse[id] || n.rig.agents[id] == nil {
 		return carawayshift.NewError(carawayshift.NotRun, "connection refused", "")
 	}
 	return nil
@@ -471,7 +488,7 @@
 		// The runner executes the call late, and not at all if it has restarted
 		// since.
 		wait := time.Duration(2000+n.rig.random()*8000) * time.Millisecond
-		a := n.rig.agents[id]
+		a := n.rig.at(id)
 		incarnation := a.Report().Incarnation
 		time.AfterFunc(wait, func() {
 			if a.Report().Incarnation == incarnation {
@@ -499,7 +516,7 @@
 	n.rig.mu.Unlock()
 	var at atomic.Int64 // a late call sets it after this one has returned
 	call := func() error {
-		c, err := n.rig.agents[o.Agent.ID].Start(context.Background(), o, s)
+		c, err := n.rig.at(o.Agent.Address).Start(context.Background(), o, s)
 		at.Store(int64(c))
 		return err
 	}
@@ -518,7 +535,7 @@
 	case shed:
 		return 0, &carawayshift.RefusalError{Reason: carawayshift.RefusedUnhealthy}
 	}
-	err = n.deliver(ctx, o.Agent.ID, call)
+	err = n.deliver(ctx, o.Agent.Address, call)
 	return time.Duration(at.Load()), err
 }
 
@@ -539,8 +556,8 @@
 
 func (n *network) Stop(ctx context.Context, o carawayshift.AgentCall, task carawayshift.TaskName, run int) (clock time.Duration, err error) {
 	var at atomic.Int64 // a late call sets it after this one has returned
-	err = n.deliver(ctx, o.Agent.ID, func() error {
-		c, err := n.rig.agents[o.Agent.ID].Stop(context.Background(), o, task, run)
+	err = n.deliver(ctx, o.Agent.Address, func() error {
+		c, err := n.rig.at(o.Agent.Address).Stop(context.Background(), o, task, run)
 		at.Store(int64(c))
 		return err
 	})
@@ -548,15 +565,15 @@
 }
 
 func (n *network) Renew(ctx context.Context, o carawayshift.AgentCall, seen uint64, until, wait time.Duration) (st carawayshift.AgentStatus, err error) {
-	if n.isCut(o.Agent.ID) {
+	if n.isCut(o.Agent.Address) {
 		<-ctx.Done()
 		return st, errNoAnswer
 	}
-	if err := n.refused(o.Agent.ID); err != nil {
+	if err := n.refused(o.Agent.Address); err != nil {
 		return st, err
 	}
-	st, err = n.rig.agents[o.Agent.ID].Renew(ctx, o, seen, until, wait)
-	pause.For(ctx, n.renewDelayOf(o.Agent.ID))
+	st, err = n.rig.at(o.Agent.Address).Renew(ctx, o, seen, until, wait)
+	pause.For(ctx, n.renewDelayOf(o.Agent.Address))
 	if ctx.Err() != nil {
 		return carawayshift.AgentStatus{}, errNoAnswer
 	}
@@ -576,5 +593,5 @@
 }
 
 func (n *network) Throttle(ctx context.Context, o carawayshift.AgentCall, task carawayshift.TaskName, run, percent int) error {
-	return n.rig.agents[o.Agent.ID].Throttle(ctx, o, task, run, percent)
+	return n.rig.at(o.Agent.Address).Throttle(ctx, o, task, run, percent)
 }
--- a/internal/dispatcher/runners.go
+++ b/internal/dispatcher/runners.go
@@ -9,32 +9,96 @@
 	"carawayshift.example/carawayshift"
 )
 
-// report handles a heartbeat. A report of an older incarnation of the runner,
-// or one that arrives after a later one, is ignored.
+// report handles a heartbeat.
 func (t *leaderTerm) report(a carawayshift.Agent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ctx == nil || t.ctx.Err() != nil {
+	t.handleReport(a, time.Now())
+}
+
+// handleReport handles a runner's report. A report of an older incarnation, or one that
+// arrives after a later one, is ignored, as is one of a service that nobody uses. A
+// report that contradicts what is known of a runner is verified first: it may be late,
+// or come from another sender. The caller holds t.mu.
+func (t *leaderTerm) handleReport(a carawayshift.Agent, received time.Time) {
+	if t.ctx == nil || t.ctx.Err() != nil || t.hasLeft(a) {
 		return
 	}
-	if t.hasLeft(a) {
+	s := t.sessions[a.ID]
+	switch {
+	case s != nil && (a.Incarnation < s.agent.Incarnation || s.predates(a)):
+	case s == nil && !t.d.cfg.Table.UsesService(a.Service), s != nil && s.contradicts(a):
+		t.log.WithFields(logrus.Fields{"event": "report ignored", "runner": a.ID, "service": a.Service, "address": a.Address}).Warn("report of a service that is not in use, or of another one than the runner's; ignoring it")
+	case t.displacesRunner(a):
+		t.verifyReport(a, received)
+	default:
+		t.admit(a, received)
+	}
+}
+
+// displacesRunner reports whether the runner that a describes would take the place of a
+// known one: the address of another runner, another address than before, or the id of an
+// earlier incarnation. The caller holds t.mu.
+func (t *leaderTerm) displacesRunner(a carawayshift.Agent) bool {
+	if s := t.sessions[a.ID]; s != nil && (a.Incarnation != s.agent.Incarnation || a.Address != s.agent.Address) {
+		return true
+	}
+	return t.addressHolder(a) != nil
+}
+
+// addressHolder returns the session of another runner at the address of a, or nil. The
+// caller holds t.mu.
+func (t *leaderTerm) addressHolder(a carawayshift.Agent) *session {
+	s := t.addresses[a.Address]
+	if s == nil || s.agent.ID == a.ID || s.agent.Address != a.Address {
+		return nil
+	}
+	return s
+}
+
+// verifyReport asks the reported address for its runner, and admits the reported runner
+// if it answers. The request grants no lease and acknowledges no ends. Without an answer
+// the next report is verified again. The caller holds t.mu.
+func (t *leaderTerm) verifyReport(a carawayshift.Agent, received time.Time) {
+	if t.verifying[a.ID] {
 		return
 	}
+	t.verifying[a.ID] = true
+	t.spawn(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+		defer cancel()
+		st, err := t.client.Renew(ctx, carawayshift.AgentCall{Agent: a, Fence: t.term}, 0, 0, 0)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.verifying, a.ID)
+		if err != nil || st.Incarnation != a.Incarnation {
+			t.log.WithError(err).WithFields(logrus.Fields{
+				"event": "report not verified", "runner": a.ID, "life": a.Incarnation, "address": a.Address,
+			}).Warn("the reported runner does not answer at its address; ignoring the report")
+			return
+		}
+		t.admit(a, received)
+	})
+}
+
+// admit stores what a runner has reported. It closes the session of another runner at
+// its address. The caller holds t.mu.
+func (t *leaderTerm) admit(a carawayshift.Agent, received time.Time) {
 	s := t.sessions[a.ID]
-	if s != nil && a.Incarnation == s.agent.Incarnation {
-		s.update(a)
+	if t.ctx.Err() != nil || t.hasLeft(a) || s != nil && a.Incarnation < s.agent.Incarnation {
 		return
 	}
-	if s != nil && a.Incarnation < s.agent.Incarnation {
-		return
+	if other := t.addressHolder(a); other != nil {
+		t.closeSession(other, "another runner uses its address")
 	}
-	if !t.claimAddress(a) {
+	switch {
+	case s == nil:
+		t.sessions[a.ID] = newSession(t, a, received)
+	case a.Incarnation == s.agent.Incarnation:
+		s.update(a, received)
 		return
-	}
-	if s != nil {
-		t.replaceSession(s, a)
-	} else {
-		t.sessions[a.ID] = newSession(t, a)
+	default:
+		t.replaceSession(s, a, received)
 	}
 	t.handleNewRunner(a)
 }
@@ -58,28 +122,11 @@
 		return
 	}
 	age := x.Age + t.d.cfg.Timing.Heartbeat
-	if t.ctx.Err() != nil || t.hasLeft(a) || age > staleAfterHeartbeats*t.d.cfg.Timing.Heartbeat {
+	if age > staleAfterHeartbeats*t.d.cfg.Timing.Heartbeat {
 		return
 	}
 	a.Clock += time.Duration(float64(x.Age) * (1 - clockDrift))
-	received := time.Now().Add(-age)
-	s := t.sessions[a.ID]
-	switch {
-	case s == nil && t.claimAddress(a):
-		s = newSession(t, a)
-		t.sessions[a.ID] = s
-		t.handleNewRunner(a)
-	case s != nil && a.Incarnation == s.agent.Incarnation && a.Sequence > s.agent.Sequence:
-		if s.lastReport.After(received) {
-			received = s.lastReport
-		}
-		s.update(a)
-	case s != nil && a.Incarnation > s.agent.Incarnation:
-		s = t.replaceSession(s, a)
-	default:
-		return
-	}
-	s.lastReport = received
+	t.handleReport(a, time.Now().Add(-age))
 }
 
 // handleNewRunner logs the first report of a runner in this term and triggers a
@@ -95,11 +142,11 @@
 // ID. A start request for the previous incarnation may have reached the new
 // one, or may still do so. The open runs are therefore stopped on the new
 // incarnation before they are recorded as lost. The caller holds t.mu.
-func (t *leaderTerm) replaceSession(old *session, a carawayshift.Agent) *session {
+func (t *leaderTerm) replaceSession(old *session, a carawayshift.Agent, received time.Time) {
 	old.log.WithFields(logrus.Fields{"event": "runner reborn", "life": a.Incarnation, "runs": len(old.runs)}).Info("runner restarted")
 	old.cancel()
 	t.removeSession(old)
-	s := newSession(t, a)
+	s := newSession(t, a, received)
 	t.sessions[a.ID] = s
 	for task, r := range old.runs {
 		if r.ended {
@@ -108,22 +155,6 @@
 		s.runs[task] = &run{number: r.number, checkpoint: r.checkpoint, requirements: r.requirements, resumed: true}
 		s.stop(task, r.number)
 	}
-	return s
-}
-
-// claimAddress closes the session of an older runner with the same address. It
-// returns false when the address belongs to a newer runner. The caller holds
-// t.mu.
-func (t *leaderTerm) claimAddress(a carawayshift.Agent) bool {
-	s := t.addresses[a.Address]
-	if s == nil || s.agent.ID == a.ID || s.agent.Address != a.Address {
-		return true
-	}
-	if s.agent.Incarnation > a.Incarnation {
-		return false
-	}
-	t.closeSession(s, "another runner uses its address")
-	return true
 }
 
 // closeSession closes a session and removes it. The caller holds t.mu.
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -85,13 +85,15 @@
 // fullSpeed is the speed of a task at its start, in percent.
 const fullSpeed = 100
 
-func newSession(t *leaderTerm, a carawayshift.Agent) *session {
+// newSession starts the session of a runner whose report was received at a time, zero
+// if it has not reported yet.
+func newSession(t *leaderTerm, a carawayshift.Agent, received time.Time) *session {
 	s := &session{
 		t: t, agent: a, runs: map[carawayshift.TaskName]*run{}, wake: make(chan struct{}, 1),
 		log: t.log.WithField("runner", a.ID),
 	}
 	s.ctx, s.cancel = context.WithCancel(t.ctx)
-	s.update(a)
+	s.update(a, received)
 	t.spawn(s.renewLoop)
 	return s
 }
@@ -107,12 +109,26 @@
 	}
 	a := s.agent
 	a.Incarnation, a.Sequence, a.Clock = incarnation, 0, 0
-	s.t.replaceSession(s, a).lastReport = time.Time{}
+	s.t.replaceSession(s, a, time.Time{})
 }
 
-// update handles a heartbeat of this incarnation. The caller holds s.t.mu.
-func (s *session) update(a carawayshift.Agent) {
-	if a.Sequence < s.agent.Sequence {
+// predates reports whether a is an older report of this incarnation than the last one.
+// The caller holds s.t.mu.
+func (s *session) predates(a carawayshift.Agent) bool {
+	return a.Incarnation == s.agent.Incarnation && a.Sequence < s.agent.Sequence
+}
+
+// contradicts reports whether a describes this incarnation as one of another service or
+// machine than it has reported, so that another sender must have sent it. The caller
+// holds s.t.mu.
+func (s *session) contradicts(a carawayshift.Agent) bool {
+	reported := s.agent.Sequence > 0 && a.Incarnation == s.agent.Incarnation
+	return reported && (a.Service != s.agent.Service || a.Zone != s.agent.Zone || a.Machine != s.agent.Machine)
+}
+
+// update stores a report of this incarnation. The caller holds s.t.mu.
+func (s *session) update(a carawayshift.Agent, received time.Time) {
+	if s.predates(a) {
 		return
 	}
 	if a.Leaving && !s.agent.Leaving {
@@ -122,7 +138,10 @@
 		delete(s.t.addresses, s.agent.Address)
 	}
 	s.t.addresses[a.Address] = s
-	s.agent, s.lastReport = a, time.Now()
+	s.agent = a
+	if received.After(s.lastReport) {
+		s.lastReport = received
+	}
 	s.updateClock(a.Clock)
 }
 
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -230,6 +230,25 @@
 	return t.catalog
 }
 
+// UsesService reports whether the catalog names a service, or an active batch was
+// submitted to one of its queues. Without a catalog, any service may be used.
+func (t *Table) UsesService(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.catalog.Number == 0 {
+		return true
+	}
+	if slices.ContainsFunc(t.catalog.Services, func(s carawayshift.Service) bool { return s.Name == name }) {
+		return true
+	}
+	for id := range t.active {
+		if t.batches[id].Queue.Service == name {
+			return true
+		}
+	}
+	return false
+}
+
 // State returns the state and the team of a batch.
 func (t *Table) State(id string) (s carawayshift.BatchState, team string, ok bool) {
 	t.mu.Lock()
