--- a/batch.go
+++ b/batch.go
@@ -121,6 +121,8 @@
 	// StoppedRun is the last run of a gang of which a stopped member has written
 	// a checkpoint.
 	StoppedRun int `cbor:"7,keyasint,omitempty" json:"stoppedrun,omitempty"`
+	// Ended is when the last task finished.
+	Ended time.Time `cbor:"8,keyasint,omitempty" json:"ended"`
 }
 
 // Task is the progress of a task. At most one run of it is open.
--- a/demand.go
+++ b/demand.go
@@ -16,6 +16,8 @@
 	Queue        Queue
 	Requirements Step
 	Accepted     time.Time
+	// Ready is when the steps that the step depends on had finished.
+	Ready time.Time
 	// Due is the time by which the batch must end to meet its objective, which
 	// is based on the declared run times.
 	Due time.Time
--- a/pkg/assignment/dispatcher_test.go
+++ b/pkg/assignment/dispatcher_test.go
@@ -23,7 +23,7 @@
 
 func demand(id string, priority, tasks, accelerators int) carawayshift.Demand {
 	d := carawayshift.Demand{
-		Batch: id, Team: "carnival", Accepted: noon, Due: noon.Add(time.Minute), Expected: 2 * time.Second, OpenRuns: map[string]int{},
+		Batch: id, Team: "carnival", Accepted: noon, Ready: noon, Due: noon.Add(time.Minute), Expected: 2 * time.Second, OpenRuns: map[string]int{},
 		Queue:        carawayshift.Queue{Name: id, Service: "fit", Priority: priority, Stretch: 1.5, Latency: 500 * time.Millisecond},
 		Requirements: carawayshift.Step{Count: tasks, Accelerators: accelerators, MilliCores: 1000, Memory: 100, Declared: 2 * time.Second},
 	}
@@ -41,6 +41,18 @@
 	}
 }
 
+// twoRacks returns the input for a gang of two tasks that has waited for some time, and
+// two racks of two runners, one of which runs a task with some accelerators.
+func twoRacks(accelerators int, waited time.Duration) carawayshift.DispatchInput {
+	d := demand("b", 1, 2, 8)
+	d.Requirements.Gang, d.Requirements.SameRack, d.Ready = true, true, noon.Add(-waited)
+	return carawayshift.DispatchInput{
+		Agents:   []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1"), runner("i3", "r2"), runner("i4", "r2")},
+		OpenRuns: []carawayshift.OpenRun{openRun("x", "i2", 1, accelerators, time.Second), openRun("y", "i4", 1, accelerators, time.Second)},
+		Demands:  []carawayshift.Demand{d},
+	}
+}
+
 func TestDispatch(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -102,6 +114,15 @@
 			d.Requirements.Gang, d.Requirements.SameRack = true, true
 			return carawayshift.DispatchInput{Agents: []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r2"), runner("i3", "r2")}, Demands: []carawayshift.Demand{d}}
 		}, []string{"b@i2", "b@i3"}, nil},
+		{"a gang on two racks if long-running tasks are at work on each", func() carawayshift.DispatchInput {
+			in := twoRacks(1, 0)
+			in.OpenRuns[0].Requirements.LongRunning, in.OpenRuns[1].Requirements.LongRunning = true, true
+			return in
+		}, []string{"b@i1", "b@i3"}, nil},
+		{"a gang waits for a rack", func() carawayshift.DispatchInput { return twoRacks(1, 19*time.Second) }, nil, nil},
+		{"a gang on two racks after a long wait", func() carawayshift.DispatchInput {
+			return twoRacks(1, 20*time.Second)
+		}, []string{"b@i1", "b@i3"}, nil},
 		{"a guarantee preempts the run with the least lost work", func() carawayshift.DispatchInput {
 			d := demand("b", 0, 1, 8)
 			d.Accepted = noon.Add(-2 * time.Second)
--- a/pkg/assignment/gang.go
+++ b/pkg/assignment/gang.go
@@ -45,11 +45,18 @@
 	return false
 }
 
-// waitsForRack reports whether a gang waits until it fits on a single rack.
+// waitsForRack reports whether a gang waits until it fits on a single rack. On several
+// ones it would use its runners for longer, and they would be missing elsewhere.
 func (p *pass) waitsForRack(d *carawayshift.Demand, racks [][]*runnerState) bool {
-	return d.Requirements.SameRack && !p.guaranteeDue(d) && p.fitsOnEmptyRack(d, racks)
+	saved := time.Duration((p.cfg.RemoteSlowdown - 1) * float64(d.Expected))
+	waited := p.input.Now.Sub(d.Ready)
+	return d.Requirements.SameRack && !p.guaranteeDue(d) && waited < maxRackWaits*saved && p.fitsOnEmptyRack(d, racks)
 }
 
+// maxRackWaits limits the wait of a gang for a single rack to a multiple of the run time
+// that it saves.
+const maxRackWaits = 5
+
 // guaranteeDue reports whether a demand is covered by its team's guarantee and
 // must start now.
 func (p *pass) guaranteeDue(d *carawayshift.Demand) bool {
@@ -100,12 +107,12 @@
 }
 
 // fitsOnEmptyRack reports whether the whole gang would fit on one of the racks if
-// nothing else ran there.
+// nothing else ran there but long-running tasks, which don't end.
 func (p *pass) fitsOnEmptyRack(d *carawayshift.Demand, racks [][]*runnerState) bool {
 	return slices.ContainsFunc(racks, func(runners []*runnerState) bool {
 		n := 0
 		for _, r := range runners {
-			n += copies(r.total, resourcesOf(d.Requirements), d.Requirements.MaxPerRunner)
+			n += copies(r.total.minus(r.longRunning), resourcesOf(d.Requirements), d.Requirements.MaxPerRunner)
 		}
 		return n >= len(d.Indexes)
 	})
--- a/pkg/assignment/pass.go
+++ b/pkg/assignment/pass.go
@@ -130,6 +130,9 @@
 	n := resourcesOf(h.Requirements)
 	r.allocate(n)
 	stopping := h.Stopping || h.Obsolete
+	if h.Requirements.LongRunning && !stopping {
+		r.longRunning = r.longRunning.plus(n)
+	}
 	r.releases = append(r.releases, release{p.expectedEnd(h, stopping), n, stopping})
 	if stopping || h.Requirements.LongRunning {
 		return
--- a/pkg/assignment/runner.go
+++ b/pkg/assignment/runner.go
@@ -46,6 +46,8 @@
 	// free is what is neither used by runs nor reserved. It is negative while a
 	// reservation waits for runs to end. idle ignores reservations.
 	free, idle resources
+	// longRunning is what the long-running tasks use.
+	longRunning resources
 	// reservedFrom is when the first reservation is expected to start.
 	reservedFrom time.Time
 	// releases lists the open runs by expected end.
--- a/pkg/batch/open_work.go
+++ b/pkg/batch/open_work.go
@@ -138,10 +138,21 @@
 	}
 	return carawayshift.Demand{
 		Batch: b.ID, Occurrence: occurrence, Step: step, Team: b.Team, Queue: b.Queue, Requirements: b.Steps[step],
-		Accepted: start, Due: start.Add(objective(b)), OpenRuns: map[string]int{},
+		Accepted: start, Ready: readySince(b, occurrence, step, start), Due: start.Add(objective(b)), OpenRuns: map[string]int{},
 	}
 }
 
+// readySince returns when the steps that a step depends on had finished, or start if it
+// depends on none.
+func readySince(b *carawayshift.Batch, occurrence, step int, start time.Time) time.Time {
+	for _, a := range b.Steps[step].After {
+		if ended := b.Occurrences[occurrence].Steps[a].Ended; ended.After(start) {
+			start = ended
+		}
+	}
+	return start
+}
+
 // ready reports whether all steps in a step's After have finished.
 func ready(o carawayshift.Occurrence, need carawayshift.Step) bool {
 	for _, a := range need.After {
--- a/pkg/batch/runs.go
+++ b/pkg/batch/runs.go
@@ -64,7 +64,7 @@
 	switch {
 	case need.LongRunning:
 	case e.Outcome == carawayshift.RunFinished:
-		finishTask(step, k, need)
+		finishTask(at, step, k, need)
 	case e.Outcome == carawayshift.RunFailed:
 		t.fail(at, b, step, k, need)
 	}
@@ -90,16 +90,19 @@
 }
 
 // finishTask marks a task as finished, and for a gang all of its members.
-func finishTask(step *carawayshift.StepRun, k *carawayshift.Task, need carawayshift.Step) {
-	if !need.Gang {
+func finishTask(at time.Time, step *carawayshift.StepRun, k *carawayshift.Task, need carawayshift.Step) {
+	if need.Gang {
+		for i := range step.Tasks {
+			step.Tasks[i].Finished = true
+		}
+		step.Finished = len(step.Tasks)
+	} else {
 		k.Finished = true
 		step.Finished++
-		return
 	}
-	for i := range step.Tasks {
-		step.Tasks[i].Finished = true
+	if step.Finished == len(step.Tasks) {
+		step.Ended = at
 	}
-	step.Finished = len(step.Tasks)
 }
 
 // fail counts a failed run, and fails the batch at its queue's MaxAttempts. A
--- a/pkg/batch/table_test.go
+++ b/pkg/batch/table_test.go
@@ -337,3 +337,24 @@
 	out.Restore(s)
 	return out
 }
+
+// The waits of a step are limited from the time at which it was ready. Counted from the
+// batch's acceptance, a later step would have no time left.
+func TestStepIsReadyOnceTheStepsBeforeHaveFinished(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	ready := func() time.Time {
+		demands, _ := b.OpenWork()
+		o.Expect(demands).To(HaveLen(1))
+		return demands[0].Ready
+	}
+	steps := []carawayshift.Step{{Count: 2}, {Count: 1, After: []int{0}}}
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: "b", Queue: queue(2), Steps: steps}})).To(Succeed())
+	o.Expect(ready()).To(Equal(noon))
+	for i := range 2 {
+		at := noon.Add(time.Duration(i+1) * time.Minute)
+		o.Expect(b.Apply(at, &carawayshift.BatchChange{Starts: start(task(0, i), 1)})).To(Succeed())
+		o.Expect(b.Apply(at, &carawayshift.BatchChange{Ends: end(task(0, i), 1, carawayshift.RunFinished)})).To(Succeed())
+	}
+	o.Expect(ready()).To(Equal(noon.Add(2 * time.Minute)))
+}
