membership: a host removed while cut off or full joins again

Changes were accepted, but each such fault left one host less to replace the next lost disk.

Cause: a host asks to join if it is no member or knows no leader. A removed host gets no entry of its removal, so that it knows itself as a member, and the leader it knows is not forgotten while the term stays the same.

Change: replica.Status.LeaderContact, the time of the leader's last message; a host without one for 1.5 s asks to join.

The report that changes are refused long after was not reproduced.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,8 +40,8 @@
 	transferBackoff = 10 * time.Second
 	// changeTimeout bounds one membership change.
 	changeTimeout = 2 * time.Second
-	// leaderTimeout is how long a member is without a leader before it asks to
-	// join again, in case it no longer belongs to the group. An election takes
+	// leaderTimeout is how long a member gets no message of a leader before it asks
+	// to join again, in case it no longer belongs to the group. An election takes
 	// about 1 s; the platform relies on a host 4 s after its return.
 	leaderTimeout = 1500 * time.Millisecond
 )
@@ -123,13 +123,15 @@
 }
 
 func (g *Group) joinLoop(ctx context.Context) {
-	leaderSeen := time.Now()
+	contact := time.Now()
 	for ctx.Err() == nil {
 		st := g.cfg.Replica.Status()
-		if st.Leader != "" {
-			leaderSeen = time.Now()
+		if st.LeaderContact.After(contact) {
+			contact = st.LeaderContact
 		}
-		if !isMember(st) || time.Since(leaderSeen) > leaderTimeout {
+		// A host that was removed while it was cut off or its disk was full still knows
+		// itself as a member, and a leader: only messages of the leader show that it is.
+		if !isMember(st) || time.Since(contact) > leaderTimeout {
 			g.requestJoin(ctx, st)
 		}
 		pause.For(ctx, joinInterval)
--- a/pkg/replica/status.go
+++ b/pkg/replica/status.go
@@ -16,6 +16,9 @@
 	Identity uint64 `json:"identity"`
 	Term     uint64 `json:"term"`
 	Leader   string `json:"leader"`
+	// LeaderContact is when the last message of the leader arrived, zero if none has.
+	// On the leader it is the time of the call.
+	LeaderContact time.Time `json:"leader_contact"`
 	// Ready is true on a leader that has committed an entry of its term.
 	Ready   bool     `json:"ready"`
 	Last    uint64   `json:"last"`
@@ -50,11 +53,12 @@
 		Host: r.cfg.Host, Identity: r.hardState.Identity, Term: r.hardState.Term, Leader: r.leader,
 		Last: last, Commit: r.commit, Applied: r.applied,
 		Members: append([]Member(nil), c.members...), HomeRegion: majorityRegion(c.members), MembersIndex: c.index, Refused: r.hardState.Refused,
-		DiskFull: r.diskFull,
+		DiskFull: r.diskFull, LeaderContact: r.leaderContact,
 	}
 	if r.lead == nil {
 		return s
 	}
+	s.LeaderContact = time.Now()
 	s.Ready = r.lead.ready(r.commit)
 	s.Match = map[string]uint64{r.cfg.Host: last}
 	s.SinceContact = map[string]time.Duration{}
