dispatcher: a machine missing in the platform's list is not done

The list is read page by page while it changes.

Change: the response to the request for maintenance shows whether a machine exists; a machine that is not listed is requested within the limit of the wave like any other.

--- a/agent.go
+++ b/agent.go
@@ -150,6 +150,8 @@
 // Machines controls the platform's machines. The fencing token is checked
 // separately for each machine.
 type Machines interface {
+	// List returns the machines. One that is missing may exist: the list is read page
+	// by page while it changes.
 	List(ctx context.Context) ([]Machine, error)
 	// Upkeep takes a machine down for its maintenance in a wave. Everything
 	// that runs on it ends immediately. Kind Refused means that the machine is busy
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -49,7 +49,9 @@
 	// those whose maintenance request was confirmed.
 	draining             map[string]bool
 	maintenanceConfirmed map[waveMachine]bool
-	wg                   sync.WaitGroup
+	// maintenanceGone holds the machines that don't exist.
+	maintenanceGone map[waveMachine]bool
+	wg              sync.WaitGroup
 	// removedInactive is when inactive runners were last removed, planned when the
 	// last plan was made.
 	removedInactive, planned time.Time
@@ -62,7 +64,7 @@
 		d: d, term: term, started: time.Now(), resign: resign,
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
 		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{}, stopping: map[carawayshift.TaskName]int{},
-		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{},
+		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{},
 		requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
 	}
 	t.client = permittedClient{d.cfg.Client, t}
--- a/internal/dispatcher/maintenance.go
+++ b/internal/dispatcher/maintenance.go
@@ -48,7 +48,8 @@
 		return // the next iteration sees the new state of the wave
 	}
 	for _, m := range w.Started {
-		if !slices.Contains(w.Done, m) && !t.isConfirmed(w.ID, m) {
+		_, present := listed[m]
+		if !slices.Contains(w.Done, m) && (!present || !t.isConfirmed(w.ID, m)) {
 			t.requestMaintenance(ctx, w, m)
 		}
 	}
@@ -77,17 +78,25 @@
 	return t.maintenanceConfirmed[waveMachine{wave, machine}]
 }
 
+// isGone reports whether the platform answered in this term that there is no such
+// machine.
+func (t *leaderTerm) isGone(wave int, machine string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maintenanceGone[waveMachine{wave, machine}]
+}
+
 // recordDone records the machines that have returned from maintenance or no
-// longer exist.
+// longer exist. That a machine is not listed proves nothing: it may have moved to a
+// page that was read before, or its entry could not be read.
 func (t *leaderTerm) recordDone(ctx context.Context, w carawayshift.Wave, listed map[string]carawayshift.Machine) bool {
 	var steps []carawayshift.WaveStep
 	for _, m := range w.Machines {
 		if slices.Contains(w.Done, m) {
 			continue
 		}
-		found, present := listed[m]
-		returned := t.isConfirmed(w.ID, m) && found.State == carawayshift.MachineUp
-		if !present || returned {
+		returned := t.isConfirmed(w.ID, m) && listed[m].State == carawayshift.MachineUp
+		if returned || t.isGone(w.ID, m) {
 			steps = append(steps, carawayshift.WaveStep{Wave: w.ID, Machine: m, Done: true})
 		}
 	}
@@ -108,6 +117,9 @@
 		t.resign()
 	case carawayshift.NotFound:
 		entry.WithError(err).Info("machine no longer exists")
+		t.mu.Lock()
+		t.maintenanceGone[waveMachine{w.ID, machine}] = true
+		t.mu.Unlock()
 	default:
 		if err != nil {
 			entry.WithError(err).Warn("maintenance request not confirmed, retrying")
@@ -129,16 +141,19 @@
 	}
 }
 
-// waveMachines combines the platform's list of machines with the open runs.
+// waveMachines combines the platform's list of machines with the open runs. The
+// maintenance of a machine that is not listed is requested like that of others: the
+// response shows whether it exists.
 func (t *leaderTerm) waveMachines(w carawayshift.Wave, listed map[string]carawayshift.Machine) []maintenance.Machine {
 	_, openRuns := t.d.cfg.Table.OpenWork()
 	available := t.countAvailable(openRuns)
 	var out []maintenance.Machine
 	for _, name := range w.Machines {
-		m := maintenance.Machine{Name: name, Up: listed[name].State == carawayshift.MachineUp}
+		found, present := listed[name]
+		m := maintenance.Machine{Name: name, Up: !present || found.State == carawayshift.MachineUp}
 		onMachine := map[carawayshift.TaskName]int{}
 		for _, o := range openRuns {
-			if o.Runner != listed[name].Runner {
+			if o.Runner != found.Runner {
 				continue
 			}
 			m.Runs++
--- a/internal/dispatcher/services_test.go
+++ b/internal/dispatcher/services_test.go
@@ -41,6 +41,9 @@
 	maxDown int
 	// requests counts the maintenance requests for each machine.
 	requests map[string]int
+	// unlisted holds machines that exist and are missing in the list, gone those that
+	// don't exist.
+	unlisted, gone map[string]bool
 }
 
 var machineNames = []string{"m-i-0", "m-i-1", "m-i-2", "m-i-3", "m-i-4"}
@@ -50,6 +53,9 @@
 	defer m.mu.Unlock()
 	var list []carawayshift.Machine
 	for _, name := range machineNames {
+		if m.unlisted[name] || m.gone[name] {
+			continue
+		}
 		state := carawayshift.MachineUp
 		if time.Now().Before(m.backAt[name]) {
 			state = "upkeep"
@@ -62,6 +68,9 @@
 func (m *machines) Upkeep(_ context.Context, _ string, _ uint64, machine string, _ int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.gone[machine] {
+		return carawayshift.NewError(carawayshift.NotFound, "no machine "+machine, "")
+	}
 	m.requests[machine]++
 	if m.requests[machine] > 1 {
 		return nil
@@ -136,3 +145,32 @@
 		o.Expect(m.requests).To(HaveLen(5))
 	})
 }
+
+// A machine that the platform's list leaves out for some time gets its maintenance all the
+// same, within the limit of the wave. One that does not exist is not waited for.
+func TestUnlistedMachinesAreNotDone(t *testing.T) {
+	m := &machines{
+		backAt: map[string]time.Time{}, requests: map[string]int{}, unlisted: map[string]bool{"m-i-1": true, "m-i-3": true}, gone: map[string]bool{"m-i-4": true},
+	}
+	playWithServices(t, nil, m, func(r *rig) {
+		o := NewWithT(t)
+		r.mu.Lock()
+		var a carawayshift.Answer
+		o.Expect(r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
+			Wave: &carawayshift.Wave{ID: 1, Machines: machineNames, Due: time.Now().Add(40 * time.Second), Limit: 1},
+		}}, &a)).To(Succeed())
+		r.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		m.mu.Lock()
+		m.unlisted = nil
+		m.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		waves := r.machine.Batches().Waves()
+		o.Expect(waves).To(HaveLen(1))
+		o.Expect(waves[0].Complete()).To(BeTrue())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		o.Expect(m.maxDown).To(Equal(1))
+		o.Expect(m.requests).To(HaveLen(4))
+	})
+}
