batch, dispatcher: what is due becomes work in bounded steps

Cause: the leader opened all due occurrences in one command of more than 4 MB, which the log refuses, and each plan began with it anew. Evidence: TestDueOccurrencesDelayNoOtherBatch with the limit of the log in the rig.

Ruled out: the planner itself (the plan is never made), the size of the accepted job.

Ends and starts are committed 1,024 at a time; starts that are too large delay their own batch, are logged and counted. Closed occurrences keep no tasks and cost the planner nothing.

--- a/internal/dispatcher/ends.go
+++ b/internal/dispatcher/ends.go
@@ -42,12 +42,48 @@
 		list := t.ends
 		t.ends = nil
 		t.mu.Unlock()
-		for len(list) > 0 && ctx.Err() == nil && !t.commitEnds(ctx, list) {
+		for len(list) > 0 && ctx.Err() == nil {
+			n := endsPerChange(list)
+			if t.commitEnds(ctx, list[:n]) {
+				list = list[n:]
+			}
 		}
 		t.d.wakeIfWaiting()
 	}
 }
 
+const (
+	// maxChangeItems limits the ends or starts of one change: the ends of thousands of
+	// runners arrive at once after a long cut, and a change that is too large would
+	// never be committed.
+	maxChangeItems = 1024
+	// maxChangeBytes limits the checkpoints of one change.
+	maxChangeBytes = 1 << 20
+)
+
+// endsPerChange returns how many of the ends go into the next change, at least one.
+func endsPerChange(list []pendingEnd) int {
+	size := 0
+	for i, e := range list {
+		size += len(e.end.Checkpoint)
+		if i == maxChangeItems || i > 0 && size > maxChangeBytes {
+			return i
+		}
+	}
+	return len(list)
+}
+
+// startsPerChange returns how many of the starts go into the next change. The members
+// of a gang go into the same one.
+func startsPerChange(list []carawayshift.DispatchStart) int {
+	for i := maxChangeItems; i < len(list); i++ {
+		if stepOf(list[i].Task) != stepOf(list[i-1].Task) {
+			return i
+		}
+	}
+	return len(list)
+}
+
 func (t *leaderTerm) commitEnds(ctx context.Context, list []pendingEnd) bool {
 	c := &carawayshift.BatchChange{}
 	for _, r := range list {
--- a/internal/dispatcher/ends_test.go
+++ b/internal/dispatcher/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,3 +45,51 @@
 		})
 	}
 }
+
+// A batch has more occurrences due than fit into one command. Batches of others must go on.
+func TestDueOccurrencesDelayNoOtherBatch(t *testing.T) {
+	play(t, 1, 4, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Second }
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		var a carawayshift.Answer
+		step := single(1)
+		o.Expect(r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{Submit: &carawayshift.Batch{
+			ID: "week", Team: "carnival", Steps: []carawayshift.Step{step}, Queue: rigQueue,
+			Repeat: 1_300_000, First: time.Now().Add(-7 * 24 * time.Hour), Interval: 2 * time.Second,
+		}}}, &a)).To(Succeed())
+		r.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		r.submit("sound", single(1))
+		time.Sleep(5 * time.Second)
+		o.Expect(r.state("sound")).To(Equal(carawayshift.BatchFinished))
+		ended, _ := r.progress("week")
+		o.Expect(ended).To(BeNumerically(">", 50), "all accelerators are used")
+		r.cancel("week")
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// After a long cut, thousands of runners report their ends at once.
+func TestChangesAreLimited(t *testing.T) {
+	o := NewWithT(t)
+	end := func(checkpoint int) pendingEnd {
+		return pendingEnd{end: carawayshift.RunEnd{Checkpoint: strings.Repeat("c", checkpoint)}}
+	}
+	many, large := make([]pendingEnd, 100_000), make([]pendingEnd, 100)
+	for i := range large {
+		large[i] = end(maxChangeBytes / 10)
+	}
+	o.Expect(endsPerChange(many)).To(Equal(maxChangeItems))
+	o.Expect(endsPerChange(large)).To(Equal(10))
+	o.Expect(endsPerChange([]pendingEnd{end(2 * maxChangeBytes), end(1)})).To(Equal(1))
+	o.Expect(endsPerChange(many[:3])).To(Equal(3))
+
+	starts := make([]carawayshift.DispatchStart, 5000)
+	for i := range starts {
+		starts[i].Task = carawayshift.TaskName{Batch: "b", Step: i / 1500, Index: i}
+	}
+	o.Expect(startsPerChange(starts)).To(Equal(1500), "a gang is not divided")
+	o.Expect(startsPerChange(starts[:700])).To(Equal(700))
+}
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -351,18 +351,31 @@
 	return true
 }
 
-// start commits the starts and passes the accepted ones to the sessions.
+// start commits the starts and passes the accepted ones to the sessions. A change that is
+// too large delays only its own batches.
 func (t *leaderTerm) start(ctx context.Context, starts []carawayshift.DispatchStart) {
-	if len(starts) == 0 {
-		return
+	for len(starts) > 0 {
+		n := startsPerChange(starts)
+		err := t.commitStarts(ctx, starts[:n])
+		if err != nil && carawayshift.KindOf(err) != carawayshift.TooLarge {
+			return
+		}
+		if err != nil {
+			t.d.cfg.Metrics.GetOrCreateCounter("carawayshift_changes_too_large_total").Inc()
+			t.log.WithFields(logrus.Fields{"event": "starts too large", "batch": starts[0].Task.Batch, "starts": n}).Error("the starts of a step don't fit into one command; the batch can't start")
+		}
+		starts = starts[n:]
 	}
+}
+
+func (t *leaderTerm) commitStarts(ctx context.Context, starts []carawayshift.DispatchStart) error {
 	c := &carawayshift.BatchChange{}
 	for _, s := range starts {
 		c.Starts = append(c.Starts, s.RunStart)
 	}
 	proposed := time.Now()
-	if t.propose(ctx, c) != nil {
-		return
+	if err := t.propose(ctx, c); err != nil {
+		return err
 	}
 	t.d.cfg.Metrics.GetOrCreateHistogram(`carawayshift_batch_stage_seconds{stage="commit"}`).UpdateDuration(proposed)
 	for _, s := range starts {
@@ -374,6 +387,7 @@
 		}).Info("start of run committed")
 		t.startRun(s.RunStart)
 	}
+	return nil
 }
 
 func (t *leaderTerm) startRun(s carawayshift.RunStart) {
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -152,6 +152,9 @@
 	return r
 }
 
+// rigMaxCommand is the number of bytes that a command may have.
+const rigMaxCommand = 4 << 20
+
 // rigMaxEnds is the number of ends that a simulated runner lists at a time.
 const rigMaxEnds = 4
 
@@ -237,9 +240,12 @@
 
 func (l leaderLog) Propose(_ context.Context, c carawayshift.Command) (carawayshift.Answer, error) {
 	time.Sleep(15 * time.Millisecond)
+	var a carawayshift.Answer
+	if b, err := carawayshift.Encode(c); err != nil || len(b) > rigMaxCommand {
+		return a, carawayshift.NewError(carawayshift.TooLarge, "the command is too large", "split it")
+	}
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
-	var a carawayshift.Answer
 	if l.term != l.r.term {
 		return a, carawayshift.NewError(carawayshift.NotRun, "no longer the leader", "ask the leader")
 	}
--- a/pkg/batch/open_work.go
+++ b/pkg/batch/open_work.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		b := t.batches[id]
-		for n := range b.Occurrences {
+		for n := t.firstOpen(b); n < len(b.Occurrences); n++ {
 			runs = appendOpenRuns(runs, b, n)
 			if !b.State.Ended() {
 				demands = appendDemands(demands, b, n)
@@ -38,7 +38,7 @@
 		if b.State.Ended() {
 			continue
 		}
-		for _, o := range b.Occurrences {
+		for _, o := range b.Occurrences[t.firstOpen(b):] {
 			for s, need := range b.Steps {
 				if isWaiting(o, s, need) {
 					return true
@@ -59,32 +59,6 @@
 	return slices.ContainsFunc(step.Tasks, func(k carawayshift.Task) bool { return !k.Open && !k.Finished })
 }
 
-// DueOccurrences returns the occurrences of repeated batches that are due at
-// now and have not begun, and the time at which the next one is due; zero if
-// there is none.
-func (t *Table) DueOccurrences(now time.Time) (due []carawayshift.OccurrenceDue, next time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for id := range t.active {
-		b := t.batches[id]
-		if b.State.Ended() {
-			continue
-		}
-		for n := len(b.Occurrences); n < b.Repeat; n++ {
-			at := b.First.Add(time.Duration(n) * b.Interval)
-			if !at.After(now) {
-				due = append(due, carawayshift.OccurrenceDue{Batch: id, Occurrence: n})
-				continue
-			}
-			if next.IsZero() || at.Before(next) {
-				next = at
-			}
-			break
-		}
-	}
-	return due, next
-}
-
 func appendOpenRuns(list []carawayshift.OpenRun, b *carawayshift.Batch, occurrence int) []carawayshift.OpenRun {
 	for s, step := range b.Occurrences[occurrence].Steps {
 		for i, k := range step.Tasks {
@@ -134,7 +108,7 @@
 func demand(b *carawayshift.Batch, occurrence, step int) carawayshift.Demand {
 	start := b.Accepted
 	if b.Repeat > 0 {
-		start = b.First.Add(time.Duration(occurrence) * b.Interval)
+		start = occurrenceTime(b, occurrence)
 	}
 	return carawayshift.Demand{
 		Batch: b.ID, Occurrence: occurrence, Step: step, Team: b.Team, Queue: b.Queue, Requirements: b.Steps[step],
--- a/pkg/batch/runs.go
+++ b/pkg/batch/runs.go
@@ -68,7 +68,8 @@
 	case e.Outcome == carawayshift.RunFailed:
 		t.fail(at, b, step, k, need)
 	}
-	if !b.State.Ended() && allFinished(b) {
+	dropTasks(b, e.Task.Occurrence)
+	if !b.State.Ended() && t.allFinished(b) {
 		t.finish(b, carawayshift.BatchFinished, at)
 		return
 	}
@@ -127,11 +128,11 @@
 }
 
 // allFinished reports whether every task of every occurrence has finished.
-func allFinished(b *carawayshift.Batch) bool {
+func (t *Table) allFinished(b *carawayshift.Batch) bool {
 	if len(b.Occurrences) < max(b.Repeat, 1) {
 		return false
 	}
-	for _, o := range b.Occurrences {
+	for _, o := range b.Occurrences[t.firstOpen(b):] {
 		for _, s := range o.Steps {
 			if s.Finished < len(s.Tasks) {
 				return false
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -35,6 +35,9 @@
 	// active holds the batches that have not ended or have open runs.
 	active map[string]bool
 	waves  []carawayshift.Wave
+	// closed holds the number of leading occurrences of a batch that are closed, see
+	// firstOpen.
+	closed map[string]int
 	// lastOpenRuns is the number of runs that OpenWork returned last.
 	lastOpenRuns int
 }
@@ -73,7 +76,7 @@
 	defer t.mu.Unlock()
 	t.catalog, t.routes = s.Catalog, newRoutes(s.Catalog)
 	t.batches = map[string]*carawayshift.Batch{}
-	t.order, t.active = nil, map[string]bool{}
+	t.order, t.active, t.closed = nil, map[string]bool{}, map[string]int{}
 	t.waves = s.Waves
 	for i := range s.Batches {
 		b := s.Batches[i]
@@ -185,6 +188,7 @@
 		return
 	}
 	delete(t.active, b.ID)
+	delete(t.closed, b.ID)
 	b.Spec, b.Occurrences = "", nil
 }
 
