--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -62,7 +62,7 @@
 		return errors.Wrap(err, "state.Restore")
 	}
 	var s snapshot
-	if err := carawayshift.Decode(b, &s); err != nil {
+	if err := carawayshift.DecodeSnapshot(b, &s); err != nil {
 		return errors.Wrap(err, "state.Restore")
 	}
 	m.mu.Lock()
