assignment: a batch without runs gets an empty runner of an idle service

Cause: avoidsEmptyRunners leaves empty runners to gangs while more urgent work runs, less than half of the runners are empty, and the objective is far. Long-running tasks are such work for ever, and a small one keeps a runner from being empty.

Ruled out: the evacuated zone (its runners are no candidates), the wait for a rack (the job has no gang).

Change: while less than half of each resource of the service is in use, a batch of which nothing runs avoids empty runners for 2 s at most from when its step was ready.

The test failed before: TestDispatch/a_background_task_uses_an_empty_runner_ soon_if_most_of_the_service_is_idle.

--- a/pkg/assignment/dispatcher_test.go
+++ b/pkg/assignment/dispatcher_test.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// fewUsed returns the input for a background task that needs a whole runner and has waited
+// for some time, and three runners of which two run urgent tasks with some accelerators.
+func fewUsed(accelerators int, waited time.Duration) carawayshift.DispatchInput {
+	d := demand("b", 2, 1, 8)
+	d.Ready = noon.Add(-waited)
+	return carawayshift.DispatchInput{
+		Agents:   []carawayshift.Agent{runner("i1", "r1"), runner("i2", "r1"), runner("i3", "r1")},
+		OpenRuns: []carawayshift.OpenRun{openRun("x", "i1", 0, accelerators, time.Second), openRun("y", "i2", 0, accelerators, time.Second)},
+		Demands:  []carawayshift.Demand{d},
+	}
+}
+
 func TestDispatch(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -245,6 +257,20 @@
 				OpenRuns: []carawayshift.OpenRun{openRun("urgent", "i1", 0, 8, time.Second)}, Demands: []carawayshift.Demand{d},
 			}
 		}, []string{"b@i2"}, nil},
+		{"a background task waits a moment for a runner that is in use", func() carawayshift.DispatchInput { return fewUsed(1, time.Second) }, nil, nil},
+		{"a background task uses an empty runner soon if most of the service is idle", func() carawayshift.DispatchInput {
+			return fewUsed(1, 2*time.Second)
+		}, []string{"b@i3"}, nil},
+		{"the other tasks of a background batch leave empty runners to gangs", func() carawayshift.DispatchInput {
+			in := fewUsed(1, 2*time.Second)
+			in.Agents = append(in.Agents, runner("i4", "r1"), runner("i5", "r1"))
+			in.OpenRuns = append(in.OpenRuns, openRun("z", "i4", 0, 1, time.Second))
+			in.Demands[0].Indexes, in.Demands[0].Runs = []int{0, 1}, []int{1, 1}
+			return in
+		}, []string{"b@i3"}, nil},
+		{"a background task leaves empty runners to gangs while the others are busy", func() carawayshift.DispatchInput {
+			return fewUsed(8, 20*time.Second)
+		}, nil, nil},
 		{"a long-running background task uses an empty runner", func() carawayshift.DispatchInput {
 			d := demand("b", 2, 1, 1)
 			d.Requirements.LongRunning = true
--- a/pkg/assignment/pass.go
+++ b/pkg/assignment/pass.go
@@ -25,6 +25,10 @@
 	candidateSets map[candidateKey]*candidates
 	// emptyRunners is the number of runners on which nothing runs.
 	emptyRunners int
+	// hasRuns holds the batches with open runs or starts of this pass.
+	hasRuns map[string]bool
+	// idleServices holds whether the services that were asked for are mostly idle.
+	idleServices map[string]bool
 	out          carawayshift.Dispatch
 }
 
@@ -48,12 +52,18 @@
 	backgroundPriority = 2
 	// maxReservations limits the reservations of one demand.
 	maxReservations = 4
+	// maxIdleWait is how long a batch without runs avoids empty runners while most of
+	// its service is idle.
+	maxIdleWait = 2 * time.Second
+	// idleShare is the share of each resource in use below which a service is mostly
+	// idle.
+	idleShare = 0.5
 )
 
 func newPass(cfg Config, l carawayshift.DispatchInput) *pass {
 	p := &pass{
 		cfg: cfg, input: l, urgentAccelerators: map[string]int{}, highestPriority: highestPriority(l),
-		candidateSets: map[candidateKey]*candidates{},
+		candidateSets: map[candidateKey]*candidates{}, idleServices: map[string]bool{}, hasRuns: map[string]bool{},
 	}
 	// Runs are matched to runners by id only, not by incarnation: the request for
 	// a run can reach a later incarnation of the runner.
@@ -83,6 +93,7 @@
 	p.sumUrgentAccelerators()
 	gangs := map[gangKey]*victim{}
 	for _, h := range l.OpenRuns {
+		p.hasRuns[h.Task.Batch] = true
 		if r := p.byID[h.Runner]; r != nil {
 			p.addOpenRun(r, h, gangs)
 		}
@@ -283,15 +294,38 @@
 // avoidsEmptyRunners reports whether a task leaves empty runners to gangs. Tasks of
 // the least urgent queues do so while there is more urgent work, a smaller share of
 // the runners than Config.EmptyShare is empty, and the time until they are late is
-// at least twice their expected run time.
+// at least twice their expected run time. In a service that is mostly idle, a batch
+// without runs does so for maxIdleWait at most.
 func (p *pass) avoidsEmptyRunners(d *carawayshift.Demand) bool {
 	background := d.Queue.Priority >= backgroundPriority && d.Queue.Priority > p.highestPriority
 	if !background || d.Requirements.Gang || d.Requirements.LongRunning || p.due(d).Sub(p.input.Now) < 2*d.Expected {
 		return false
 	}
+	if !p.hasRuns[d.Batch] && p.input.Now.Sub(d.Ready) >= maxIdleWait && p.mostlyIdle(d.Queue.Service) {
+		return false
+	}
 	return float64(p.emptyRunners) < p.cfg.EmptyShare*float64(len(p.runners))
 }
 
+// mostlyIdle reports whether the runs that were open at the first call use less than
+// idleShare of each resource of a service.
+func (p *pass) mostlyIdle(service string) bool {
+	idle, known := p.idleServices[service]
+	if known {
+		return idle
+	}
+	var total, free resources
+	for _, r := range p.runners {
+		if r.agent.Service == service {
+			total, free = total.plus(r.total), free.plus(r.idle)
+		}
+	}
+	below := func(total, free int) bool { return float64(total-free) < idleShare*float64(max(total, 1)) }
+	idle = below(total.cores, free.cores) && below(total.memory, free.memory) && below(total.accelerators, free.accelerators)
+	p.idleServices[service] = idle
+	return idle
+}
+
 // betterFit reports whether a is a better runner for the task than b: one on which
 // no task of the batch has failed, then one near the data, then the one with the
 // fewest resources left.
@@ -394,6 +428,7 @@
 }
 
 func (p *pass) start(r *runnerState, d *carawayshift.Demand, i, others int) {
+	p.hasRuns[d.Batch] = true
 	p.out.Starts = append(p.out.Starts, carawayshift.DispatchStart{
 		RunStart: carawayshift.RunStart{
 			Task: d.Task(i), Run: d.Runs[i], Runner: r.agent.ID, Incarnation: r.agent.Incarnation,
