--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -216,12 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeInactiveRunners(now)
-	in.Agents = make([]carawayshift.Agent, 0, len(t.sessions))
-	for _, s := range t.sessions {
-		if s.usable(now) {
-			in.Agents = append(in.Agents, s.agent)
-		}
-	}
+	in.Agents = t.usableRunners(now)
 	in.DrainingMachines = t.draining
 	for i, d := range in.Demands {
 		if d.Queue.Advised {
@@ -253,6 +248,34 @@
 	return in
 }
 
+// maxEjectedShare is the share of a service's runners that are ejected at most. Beyond it
+// the failures are rather those of the tasks, and sound ones would have no runner.
+const maxEjectedShare = 0.5
+
+// usableRunners returns the runners that may get new work. The caller holds t.mu.
+func (t *leaderTerm) usableRunners(now time.Time) []carawayshift.Agent {
+	list := make([]carawayshift.Agent, 0, len(t.sessions))
+	reachable, ejected := map[string]int{}, map[string][]carawayshift.Agent{}
+	for _, s := range t.sessions {
+		if !s.reachable(now) {
+			continue
+		}
+		service := s.agent.Service
+		reachable[service]++
+		if t.d.outliers.Ejected(s.agent.ID, now) {
+			ejected[service] = append(ejected[service], s.agent)
+			continue
+		}
+		list = append(list, s.agent)
+	}
+	for service, agents := range ejected {
+		if float64(len(agents)) > maxEjectedShare*float64(reachable[service]) {
+			list = append(list, agents...)
+		}
+	}
+	return list
+}
+
 // removeInactiveRunners removes, once per heartbeat, the runners that have no open
 // runs and have missed forgetAfterHeartbeats heartbeats. The caller holds t.mu.
 func (t *leaderTerm) removeInactiveRunners(now time.Time) {
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -54,6 +54,8 @@
 	machines carawayshift.Machines
 	// takes returns how long a task runs; if it is nil, the time is random.
 	takes func(task carawayshift.TaskName) time.Duration
+	// fails reports whether a task fails; it may be nil.
+	fails func(task carawayshift.TaskName) bool
 	// recall calls handle with each report that other control hosts received; it
 	// may be nil.
 	recall func(ctx context.Context, handle func(carawayshift.AgentReport))
@@ -171,7 +173,7 @@
 
 func (r *rig) work(task carawayshift.TaskName, _ int) (time.Duration, bool) {
 	if r.takes != nil {
-		return r.takes(task), false
+		return r.takes(task), r.fails != nil && r.fails(task)
 	}
 	return time.Duration(500+r.random()*2500) * time.Millisecond, false
 }
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -170,10 +170,11 @@
 	return until
 }
 
-// usable reports whether the runner may get new work. The caller holds s.t.mu.
-func (s *session) usable(now time.Time) bool {
+// reachable reports whether the runner may get new work, unless it is ejected for
+// failures of tasks. The caller holds s.t.mu.
+func (s *session) reachable(now time.Time) bool {
 	fresh := now.Sub(s.lastReport) < staleAfterHeartbeats*s.t.d.cfg.Timing.Heartbeat
-	return fresh && !s.agent.Leaving && !s.exited && now.After(s.avoidUntil) && !s.unanswered && !s.unconfirmed && !s.t.d.outliers.Ejected(s.agent.ID, now)
+	return fresh && !s.agent.Leaving && !s.exited && now.After(s.avoidUntil) && !s.unanswered && !s.unconfirmed
 }
 
 func (s *session) signal() {
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -14,7 +14,9 @@
 // A batch that fails everywhere must not eject runners: a runner is ejected only
 // when tasks of different batches have failed on it since a task last finished
 // there, when a task stalled on it, or when a task failed early in its run whose batch
-// has hardly failed elsewhere. A gang ends with its first failure, so that a runner
+// has hardly failed elsewhere. Failures of a batch that has failed on several runners
+// count against none of them any more: long-running tasks may fail again and again, and
+// never finish anywhere. A gang ends with its first failure, so that a runner
 // that fails whatever it starts costs the work of many others until it is ejected.
 package outlier
 
@@ -29,8 +31,12 @@
 	// fail on a runner before it is ejected.
 	minFailedBatches = 2
 	// maxSuspects is the number of runners on which tasks of a batch may have failed for
-	// an early failure to count against the runner, and not the batch.
-	maxSuspects = 2
+	// an early failure to count against the runner, and not the batch; maxFailedRunners
+	// is the same number for other failures.
+	maxSuspects      = 2
+	maxFailedRunners = 4
+	// memory is how long a runner's failures are remembered after the last one.
+	memory = time.Minute
 	// baseEjection is the duration of a runner's first ejection; each further
 	// one is twice as long, up to maxEjection. A finished task resets it.
 	baseEjection = 2 * time.Second
@@ -49,8 +55,9 @@
 // finished there.
 type runnerState struct {
 	failed map[string]bool
-	// since is the time of the first of these failures.
+	// since is the time of the first of these failures, last that of the last one.
 	since    time.Time
+	last     time.Time
 	ejection time.Duration
 	until    time.Time
 }
@@ -69,10 +76,17 @@
 		d.batches[batch] = map[string]bool{}
 	}
 	d.batches[batch][runner] = true
+	if len(d.batches[batch]) > maxFailedRunners {
+		return
+	}
+	if s := d.runners[runner]; s != nil && at.Sub(s.last) > memory {
+		delete(d.runners, runner)
+	}
 	s := d.stateOf(runner)
 	if len(s.failed) == 0 {
 		s.since = at
 	}
+	s.last = at
 	s.failed[batch] = true
 	if len(s.failed) >= minFailedBatches || early && len(d.batches[batch]) <= maxSuspects {
 		s.eject(at)
--- a/pkg/outlier/detector_test.go
+++ b/pkg/outlier/detector_test.go
@@ -36,6 +36,18 @@
 			r.RecordSuccess("i", now.Add(-time.Second))
 			r.RecordFailure("i", "b2", false, now)
 		}, true},
+		{"failures of batches that fail on many runners", func(r *outlier.Detector) {
+			for _, b := range []string{"b1", "b2", "b3"} {
+				for _, other := range []string{"j", "k", "l", "m"} {
+					r.RecordFailure(other, b, false, now)
+				}
+				r.RecordFailure("i", b, false, now)
+			}
+		}, false},
+		{"a failure long after the others", func(r *outlier.Detector) {
+			r.RecordFailure("i", "b1", false, now.Add(-2*time.Minute))
+			r.RecordFailure("i", "b2", false, now)
+		}, false},
 		{"an early failure", func(r *outlier.Detector) { r.RecordFailure("i", "b1", true, now) }, true},
 		{"an early failure of a batch that failed early on another runner", func(r *outlier.Detector) {
 			r.RecordFailure("j", "b1", true, now)
