--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -164,7 +164,7 @@
 	if errors.As(err, &large) {
 		return q, carawayshift.NewError(carawayshift.TooLarge, "the body exceeds 32 KB", "send a shorter statement")
 	}
-	if err != nil || dec.More() {
+	if _, end := dec.Token(); err != nil || end != io.EOF {
 		return q, malformed("the body is not one JSON object", `send {"statement": "...", "id": "...", "operator": "..."}`)
 	}
 	if !validIdentifier(q.ID) || !validIdentifier(q.Operator) {
--- a/internal/operator/session_test.go
+++ b/internal/operator/session_test.go
@@ -191,6 +191,7 @@
 		{"empty", "POST", "", http.StatusBadRequest, "malformed"},
 		{"not JSON", "POST", "show jobs", http.StatusBadRequest, "malformed"},
 		{"unknown field", "POST", `{"statement":"help","opertor":"ines"}`, http.StatusBadRequest, "malformed"},
+		{"a brace too many", "POST", `{"statement":"help"}}`, http.StatusBadRequest, "malformed"},
 		{"two objects", "POST", `{"statement":"help"}{}`, http.StatusBadRequest, "malformed"},
 		{"oversized", "POST", `{"statement":"` + strings.Repeat("a", maxBodyBytes) + `"}`, http.StatusRequestEntityTooLarge, "too large"},
 		{"long id", "POST", `{"statement":"help","id":"` + strings.Repeat("a", maxIDBytes+1) + `"}`, http.StatusBadRequest, "malformed"},
--- a/internal/server/members.go
+++ b/internal/server/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"carawayshift.example/carawayshift"
@@ -30,8 +31,9 @@
 // a learner to a voter, or removes a member of the replicated group.
 func (s *Server) changeMembers(w http.ResponseWriter, r *http.Request) {
 	var q memberRequest
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMemberBody)).Decode(&q)
-	if err != nil {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMemberBody))
+	err := dec.Decode(&q)
+	if _, end := dec.Token(); err != nil || end != io.EOF {
 		err = carawayshift.NewError(carawayshift.Malformed, "the body is not a member change", `send {"op":"add","host":"lav1"}`)
 	} else {
 		err = s.changeMember(r.Context(), q)
