--- a/pkg/batch/routes.go
+++ b/pkg/batch/routes.go
@@ -27,7 +27,9 @@
 	}
 	for _, m := range c.Teams {
 		for _, k := range m.Keys {
-			r.teams[k] = m.Team
+			if k != "" { // a request without a key has the empty one
+				r.teams[k] = m.Team
+			}
 		}
 	}
 	return r
--- a/pkg/batch/table_test.go
+++ b/pkg/batch/table_test.go
@@ -358,3 +358,21 @@
 	}
 	o.Expect(ready()).To(Equal(noon.Add(2 * time.Minute)))
 }
+
+// A catalog with an empty key must not open its queues to requests without a key.
+func TestEmptyKeyGivesNoAccess(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	c := carawayshift.Catalog{
+		Number:   1,
+		Services: []carawayshift.Service{{Name: "s"}},
+		Queues:   []carawayshift.Queue{{Name: "q", Host: "a.example", Prefix: "/x/", Service: "s", Timeout: time.Second}},
+		Teams:    []carawayshift.CatalogTeam{{Team: "t", Keys: []string{"", "k"}}},
+	}
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Catalog: &c})).To(Succeed())
+	_, _, _, err := b.Resolve(carawayshift.Address{Host: "a.example", Path: "/x/1"})
+	o.Expect(carawayshift.KindOf(err)).To(Equal(carawayshift.Unauthorized))
+	_, _, team, err := b.Resolve(carawayshift.Address{Host: "a.example", Path: "/x/1", Key: "k"})
+	o.Expect(err).NotTo(HaveOccurred())
+	o.Expect(team).To(Equal("t"))
+}
