batch, leaderapi: pending counts what has not begun

Cause: a batch counted as begun from the change that requests its first start.

Change: a batch waits until a run has ended other than as lost (Batch.Begun), or the runner has confirmed the start of an open run or listed it.

--- a/batch.go
+++ b/batch.go
@@ -44,6 +44,8 @@
 	// Occurrences holds the tasks of each occurrence that has come due; a
 	// batch that runs once has one.
 	Occurrences []Occurrence `cbor:"12,keyasint,omitempty" json:"occurrences,omitempty"`
+	// Begun is true once a run has ended that was not lost before it started.
+	Begun bool `cbor:"13,keyasint,omitempty" json:"begun,omitempty"`
 }
 
 // BatchOutcome describes how a batch ended.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -248,6 +248,22 @@
 	return nil
 }
 
+// HasBegun reports whether a runner has confirmed an open run, or has reported its end.
+func (d *Dispatcher) HasBegun(s carawayshift.RunStart) bool {
+	t := d.current()
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sess := t.sessions[s.Runner]
+	if sess == nil {
+		return false
+	}
+	r := sess.find(s.Task, s.Run)
+	return r != nil && (r.ended || r.begun)
+}
+
 func (d *Dispatcher) current() *leaderTerm {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatcher/ends_test.go
+++ b/internal/dispatcher/ends_test.go
@@ -71,6 +71,46 @@
 	})
 }
 
+// A start that was requested and not confirmed has not begun.
+func TestHasBegunOnlyOnceConfirmed(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 3 * time.Second }
+		time.Sleep(2 * time.Second)
+		begun := func() (n int) {
+			for _, open := range r.machine.Batches().NotBegun("q") {
+				for _, s := range open {
+					if r.leader().HasBegun(s) {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		r.net.setCut("i-0", true)
+		r.submit("b", single(2))
+		time.Sleep(300 * time.Millisecond)
+		_, runs := r.machine.Batches().OpenWork()
+		o.Expect(runs).To(HaveLen(2))
+		o.Expect(begun()).To(BeZero())
+		time.Sleep(5 * time.Second) // by then the starts have been given up
+		r.net.setCut("i-0", false)
+		started := func() int {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return len(r.starts)
+		}
+		for started() < 2 {
+			o.Expect(begun()).To(BeZero())
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		o.Expect(begun()).To(Equal(2))
+		time.Sleep(8 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
+
 // After a long cut, thousands of runners report their ends at once.
 func TestChangesAreLimited(t *testing.T) {
 	o := NewWithT(t)
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -237,6 +237,7 @@
 			if r.Checkpoint != "" {
 				known.checkpoint = r.Checkpoint
 			}
+			known.begun = true
 			known.progress.Update(r.Percent, time.Now())
 			continue
 		}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -68,6 +68,8 @@
 	// run: a renewal that is sent later and does not list the run proves that the
 	// runner does not have it.
 	confirmed time.Time
+	// begun is true once the runner has confirmed the start or listed the run.
+	begun bool
 	// adopted is true for a run of an earlier term.
 	adopted bool
 	// ended is true when the end is queued for its commit.
@@ -325,6 +327,9 @@
 	if r != nil {
 		s.t.d.cfg.Metrics.GetOrCreateHistogram(`carawayshift_batch_stage_seconds{stage="order"}`).UpdateDuration(r.requested)
 	}
+	if r = s.find(st.Task, st.Run); r != nil {
+		r.begun = true
+	}
 	s.updateClock(clock)
 	s.t.mu.Unlock()
 	s.log.WithFields(logrus.Fields{"event": "begun", "batch": st.Task.Batch, "task": st.Task.String(), "run": st.Run}).Info("runner confirmed the start of the run")
--- a/internal/leaderapi/leaderapi.go
+++ b/internal/leaderapi/leaderapi.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	Report(a carawayshift.Agent) error
 	Leave(id string, incarnation int64) error
 	Wake()
+	// HasBegun reports whether a runner has confirmed an open run.
+	HasBegun(s carawayshift.RunStart) bool
 }
 
 // Config configures a Handler.
@@ -183,7 +186,8 @@
 	return err
 }
 
-// Waiting returns the number of a queue's batches of which no task has started.
+// Waiting returns the number of a queue's batches of which no task has started. A start
+// that was only requested doesn't count.
 func (h *Handler) Waiting(_ context.Context, at carawayshift.Address) (int, error) {
 	if err := h.requireLeader(); err != nil {
 		return 0, err
@@ -192,7 +196,13 @@
 	if err != nil {
 		return 0, err
 	}
-	return h.cfg.Table.Waiting(q.Name), nil
+	n := 0
+	for _, open := range h.cfg.Table.NotBegun(q.Name) {
+		if !slices.ContainsFunc(open, h.cfg.Runners.HasBegun) {
+			n++
+		}
+	}
+	return n, nil
 }
 
 // Replace puts a catalog in force. It does nothing if one with the same or a
--- a/internal/leaderapi/leaderapi_test.go
+++ b/internal/leaderapi/leaderapi_test.go
@@ -101,9 +101,10 @@
 
 type noRunners struct{}
 
-func (noRunners) Report(carawayshift.Agent) error { return nil }
-func (noRunners) Leave(string, int64) error       { return nil }
-func (noRunners) Wake()                           {}
+func (noRunners) Report(carawayshift.Agent) error     { return nil }
+func (noRunners) Leave(string, int64) error           { return nil }
+func (noRunners) Wake()                               {}
+func (noRunners) HasBegun(carawayshift.RunStart) bool { return false }
 
 func newTestHandler() (*Handler, *staleLog) {
 	log := &staleLog{machine: state.New(nil)}
--- a/pkg/batch/runs.go
+++ b/pkg/batch/runs.go
@@ -55,6 +55,7 @@
 	b, step := t.batches[e.Task.Batch], t.step(e.Task)
 	need := b.Steps[e.Task.Step]
 	k.Open = false
+	b.Begun = b.Begun || e.Outcome != carawayshift.RunLost
 	if e.Checkpoint != "" {
 		k.Checkpoint = e.Checkpoint
 		if need.Gang {
--- a/pkg/batch/table.go
+++ b/pkg/batch/table.go
@@ -15,7 +15,6 @@
 package batch
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -271,19 +270,25 @@
 	return t.active[id]
 }
 
-// Waiting returns the number of a queue's batches of which no task has started.
-// Repeated batches are not counted.
-func (t *Table) Waiting(queue string) int {
+// NotBegun returns an entry for each of a queue's batches of which no run has ended, other
+// than as lost: its open runs. The batch has begun if one of these is at work. Repeated
+// batches are left out.
+func (t *Table) NotBegun(queue string) [][]carawayshift.RunStart {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for id := range maps.Keys(t.active) {
+	var list [][]carawayshift.RunStart
+	for id := range t.active {
 		b := t.batches[id]
-		if b.Queue.Name == queue && b.State == carawayshift.BatchQueued && b.Repeat == 0 {
-			n++
+		if b.Queue.Name != queue || b.State.Ended() || b.Begun || b.Repeat > 0 {
+			continue
+		}
+		var open []carawayshift.RunStart
+		for _, r := range appendOpenRuns(nil, b, 0) {
+			open = append(open, carawayshift.RunStart{Task: r.Task, Run: r.Run, Runner: r.Runner, Incarnation: r.Incarnation})
 		}
+		list = append(list, open)
 	}
-	return n
+	return list
 }
 
 // Spec returns the specification that runners get with each task of a batch.
--- a/pkg/batch/table_test.go
+++ b/pkg/batch/table_test.go
@@ -166,7 +166,7 @@
 	o.Expect(next).To(Equal(noon.Add(time.Second)))
 	due, _ = b.DueOccurrences(noon.Add(2 * time.Second))
 	o.Expect(due).To(Equal([]carawayshift.OccurrenceDue{{Batch: "b", Occurrence: 0}}))
-	o.Expect(b.Waiting("q")).To(BeZero(), "repeated batches don't count as waiting")
+	o.Expect(b.NotBegun("q")).To(BeEmpty(), "repeated batches don't count as waiting")
 	for n := range 2 {
 		name := carawayshift.TaskName{Batch: "b", Occurrence: n}
 		o.Expect(b.Apply(noon, &carawayshift.BatchChange{Due: []carawayshift.OccurrenceDue{{Batch: "b", Occurrence: n}}, Starts: start(name, 1)})).To(Succeed())
@@ -376,3 +376,19 @@
 	o.Expect(err).NotTo(HaveOccurred())
 	o.Expect(team).To(Equal("t"))
 }
+
+// A run that was requested and lost has not begun: callers are told that the batch waits.
+func TestNotBegun(t *testing.T) {
+	o := NewWithT(t)
+	b := batch.New()
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Submit: &carawayshift.Batch{ID: "b", Queue: queue(2), Steps: []carawayshift.Step{{Count: 2}}}})).To(Succeed())
+	o.Expect(b.NotBegun("other")).To(BeEmpty())
+	o.Expect(b.NotBegun("q")).To(Equal([][]carawayshift.RunStart{nil}))
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Starts: start(task(0, 0), 1)})).To(Succeed())
+	o.Expect(b.NotBegun("q")).To(Equal([][]carawayshift.RunStart{start(task(0, 0), 1)}))
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Ends: end(task(0, 0), 1, carawayshift.RunLost)})).To(Succeed())
+	o.Expect(b.NotBegun("q")).To(Equal([][]carawayshift.RunStart{nil}))
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Starts: start(task(0, 0), 2)})).To(Succeed())
+	o.Expect(b.Apply(noon, &carawayshift.BatchChange{Ends: end(task(0, 0), 2, carawayshift.RunStopped)})).To(Succeed())
+	o.Expect(b.NotBegun("q")).To(BeEmpty())
+}
