process tests: hosts run in a session of their own

Change: hosts of the process tests and of the soak are started with Setsid. The product is not touched.

--- a/cmd/carawayshift/batch_deployment_test.go
+++ b/cmd/carawayshift/batch_deployment_test.go
@@ -100,6 +100,7 @@
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	Expect(err).NotTo(HaveOccurred())
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = ownSession()
 	Expect(cmd.Start()).To(Succeed())
 	_ = log.Close()
 	d.processes[name] = cmd
--- a/cmd/carawayshift/process_test.go
+++ b/cmd/carawayshift/process_test.go
@@ -106,6 +106,7 @@
 	d.g.Expect(err).NotTo(HaveOccurred())
 	cmd := exec.Command(d.bin, args...)
 	cmd.Stdout, cmd.Stderr = f, f
+	cmd.SysProcAttr = ownSession()
 	d.g.Expect(cmd.Start()).To(Succeed())
 	d.t.Cleanup(func() {
 		if d.t.Failed() && cmd.Process.Signal(syscall.SIGQUIT) == nil {
@@ -122,6 +123,10 @@
 	return cmd
 }
 
+// ownSession starts a process in a session of its own. In that of the test the kernel sends
+// SIGHUP to stopped processes when the shell that started the test ends.
+func ownSession() *syscall.SysProcAttr { return &syscall.SysProcAttr{Setsid: true} }
+
 func (d *deployment) start(h *hostProcess) {
 	h.cmd = d.spawn(h.name, "serve", "--settings", h.settings)
 }
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -152,6 +152,9 @@
 	defer h.mu.Unlock()
 	h.cmd = exec.Command(d.bin, "serve", "--settings", file)
 	h.cmd.Stdout, h.cmd.Stderr = log, log
+	// In the session of the test the kernel sends SIGHUP to stopped processes when the
+	// shell that started the test ends.
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Setsid: true}
 	if err := h.cmd.Start(); err != nil {
 		d.t.Error(err)
 		h.cmd = nil
