--- a/internal/dispatcher/ends_test.go
+++ b/internal/dispatcher/ends_test.go
@@ -111,6 +111,32 @@
 	})
 }
 
+// A runner exits while there is no leader, and the next leader's first plan stops its run
+// since it exits soon. The stop is never answered; the task must start elsewhere once the
+// lease has expired.
+func TestUnansweredStopOfAdoptedRunEnds(t *testing.T) {
+	play(t, 1, 2, func(ctx context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 4 * time.Second }
+		time.Sleep(2 * time.Second)
+		r.submit("b", carawayshift.Step{Count: 2, MilliCores: 3000, Memory: 100, Declared: 4 * time.Second})
+		time.Sleep(500 * time.Millisecond)
+		leaving := r.agents["i-0"].Report()
+		leaving.Sequence, leaving.Leaving, leaving.Remaining = 1000, true, 100*time.Millisecond
+		r.mu.Lock()
+		r.mute["i-0"] = true
+		r.mu.Unlock()
+		r.net.setRefuse("i-0", true)
+		r.agents["i-0"].Crash()
+		r.recall = func(_ context.Context, handle func(carawayshift.AgentReport)) {
+			handle(carawayshift.AgentReport{Agent: leaving, Age: 100 * time.Millisecond})
+		}
+		r.elect(ctx)
+		time.Sleep(rigTiming.Lease + 8*time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
+
 // After a long cut, thousands of runners report their ends at once.
 func TestChangesAreLimited(t *testing.T) {
 	o := NewWithT(t)
