--- /dev/null
+++ b/review/second/cases.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+const (
+	contact   = 4000 * time.Millisecond
+	cancelMs  = 3000 * time.Millisecond
+	reclaimMs = 2900 * time.Millisecond
+	// slack is added to each bound for the load of the machine.
+	slack = 2 * time.Second
+)
+
+func lasting(count, gpu, mayMiss int) map[string]any {
+	s := map[string]any{"count": count, "cpu": 1000, "mem_mb": 1024, "gpu": gpu, "est_runtime_ms": 1000, "persistent": true}
+	if mayMiss > 0 {
+		s["may_miss"] = mayMiss
+	}
+	return s
+}
+
+// caseReclaim: a tenant has lent all of its accelerators to a job that lasts, and then
+// hands in a job of priority 0.
+func caseReclaim(d *deployment, trouble bool) (bool, string) {
+	d.bring(4)
+	if trouble {
+		d.submit("batch", "b0b0000000000001", "key-bob", "lasting 1 gpu 8", lasting(4, 8, 0))
+		if !until(10*time.Second, func() bool { return len(d.open("b0b0000000000001")) == 4 }) {
+			fail("the job that lasts did not start")
+		}
+		time.Sleep(2 * time.Second)
+	}
+	const id = "a000000000000001"
+	at := d.submit("urgent", id, "key-ann", "work 1000 gpu 8", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": 1000})
+	begun := until(40*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	d.state("urgent", id, "key-ann")
+	if !begun {
+		return true, fmt.Sprintf("RECLAIM: the job of priority 0 needs 8 of 16 guaranteed gpu and has not begun %.0f s after its confirmation (reclaim_ms %d)", time.Since(at).Seconds(), reclaimMs.Milliseconds())
+	}
+	took := d.starts(id)[0].from.Sub(at)
+	return took > reclaimMs+slack, fmt.Sprintf("the job of priority 0 began %d ms after its confirmation", took.Milliseconds())
+}
+
+// caseCancel: all machines of the core lose power for four seconds, and a requester
+// cancels a job meanwhile, until the cancel is confirmed.
+func caseCancel(d *deployment, trouble bool) (bool, string) {
+	d.bring(48)
+	const id = "c000000000000001"
+	const count = 96
+	// Other work of the service, which goes on.
+	const other, others = "c000000000000002", 480
+	spread := lasting(others, 0, 0)
+	spread["anti_affinity"] = 10
+	d.submit("batch", other, "key-ann", "lasting 1", spread)
+	d.submit("batch", id, "key-bob", "lasting 1 gpu 4", lasting(count, 4, 0))
+	if !until(15*time.Second, func() bool { return len(d.open(id)) == count && len(d.open(other)) == others }) {
+		fail("the jobs did not start: %d of %d tasks", len(d.open(id)), count)
+	}
+	time.Sleep(3 * time.Second)
+	calm := time.Now()
+	if trouble {
+		names := []string{"core-1", "core-2", "core-3"}
+		for _, n := range names {
+			d.signal(n, syscall.SIGKILL)
+		}
+		for _, n := range names {
+			d.wait(n)
+		}
+		time.Sleep(4 * time.Second)
+		for _, n := range names {
+			d.launch(n)
+		}
+		calm = time.Now().Add(contact)
+	}
+	at, ok := d.cancel("batch", id, "key-bob", 20*time.Second)
+	if !ok {
+		fail("the cancel was not confirmed")
+	}
+	if at.After(calm) {
+		calm = at
+	}
+	limit := calm.Add(cancelMs + stopTimeout + slack)
+	time.Sleep(time.Until(limit))
+	left := len(d.open(id))
+	if left == 0 {
+		return false, "all tasks of the cancelled job are gone"
+	}
+	d.note("%d tasks are still at work after the bound", left)
+	time.Sleep(20 * time.Second)
+	still := len(d.open(id))
+	d.state("batch", id, "key-bob")
+	return true, fmt.Sprintf("UNASKED: %d of %d tasks of the cancelled job ran on %.1f s after the confirmation, in a calm stretch; %d of them 20 s later", left, count, limit.Sub(at).Seconds(), still)
+}
+
+// caseUpkeep: a wave of two machines, two at once, takes down two tasks of a step of
+// which one may be away.
+func caseUpkeep(d *deployment, trouble bool) (bool, string) {
+	c := newCloud(d)
+	d.bring(6)
+	const id = "e000000000000001"
+	const count, mayMiss, limit = 4, 1, 2
+	d.submit("batch", id, "key-bob", "lasting 1 gpu 8", lasting(count, 8, mayMiss))
+	if !until(15*time.Second, func() bool { return len(d.open(id)) == count }) {
+		fail("the job did not start: %d of %d tasks", len(d.open(id)), count)
+	}
+	time.Sleep(notice + 2*time.Second)
+	// Two machines on which a task is at work.
+	var names []string
+	for _, s := range d.open(id)[:2] {
+		names = append(names, s.runner.machine)
+		c.wave[s.runner.machine] = 1
+	}
+	if trouble {
+		d.order("/wave-start", map[string]any{"wave": 1, "machines": names, "duration_s": 10, "cap": limit}, 10*time.Second)
+	}
+	time.Sleep(25 * time.Second)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range c.upkeeps {
+		for _, task := range u.ended {
+			n := c.away(id, count, task, u.at)
+			d.note("upkeep of %s ended %s while %d others of its step were away", u.machine, task, n)
+			if n >= mayMiss {
+				return true, fmt.Sprintf("AVAIL: the upkeep of %s ended %s, which was at work, while %d others of its step were away; may_miss is %d", u.machine, task, n, mayMiss)
+			}
+		}
+	}
+	return false, fmt.Sprintf("%d upkeeps; no task was ended while %d others were away", len(c.upkeeps), mayMiss)
+}
+
+const finish = 14 * time.Second
+
+// caseAffinity: the rack of a job's data is full of tasks that last, and the other racks
+// are idle. The job has priority 0 and is within its tenant's guarantee.
+func caseAffinity(d *deployment, trouble bool) (bool, string) {
+	d.bring(6)
+	const rack = "r1-0"
+	if trouble {
+		fill := lasting(2, 8, 0)
+		fill["affinity"] = rack
+		d.submit("batch", "b0b0000000000002", "key-bob", "lasting 1 gpu 8", fill)
+		if !until(10*time.Second, func() bool { return len(d.open("b0b0000000000002")) == 2 }) {
+			fail("the jobs that last did not start")
+		}
+		time.Sleep(2 * time.Second)
+	}
+	const id = "a000000000000002"
+	at := d.submit("urgent", id, "key-ann", "work 1000 gpu 8", map[string]any{
+		"count": 1, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": 60000, "affinity": rack,
+	})
+	begun := until(40*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	d.state("urgent", id, "key-ann")
+	if !begun {
+		return true, fmt.Sprintf("RECLAIM: the job of priority 0 needs 8 of 16 guaranteed gpu, 32 of 48 gpu are idle, and it has not begun %.0f s after its confirmation (reclaim_ms %d)", time.Since(at).Seconds(), reclaimMs.Milliseconds())
+	}
+	took := d.starts(id)[0].from.Sub(at)
+	return took > reclaimMs+slack, fmt.Sprintf("the job of priority 0 began %d ms after its confirmation", took.Milliseconds())
+}
+
+// caseReserve: a gang that needs every runner waits for the last one, and a job behind it
+// gets none of the idle ones.
+func caseReserve(d *deployment, trouble bool) (bool, string) {
+	d.bring(6)
+	const long, gang, id = "d000000000000001", "d000000000000002", "d000000000000003"
+	step := func(count, est int) map[string]any {
+		return map[string]any{"count": count, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": est}
+	}
+	d.submit("batch", long, "key-bob", "work 70000 gpu 8", step(1, 70000))
+	if !until(10*time.Second, func() bool { return len(d.open(long)) == 1 }) {
+		fail("the first job did not start")
+	}
+	if trouble {
+		g := step(6, 40000)
+		g["gang"] = true
+		d.submit("batch", gang, "key-ann", "work 40000 gpu 8", g)
+		time.Sleep(time.Second)
+	}
+	at := d.submit("batch", id, "key-bob", "work 2000 gpu 8", step(1, 80000))
+	began := until(finish+5*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	d.state("batch", id, "key-bob")
+	used := len(d.open(long)) + len(d.open(gang))
+	if !began {
+		return true, fmt.Sprintf("LOST: %.0f s after the end of the traffic the job has had nothing running for the last 5 s, while %d of 6 runners were in use", time.Since(at).Seconds(), used)
+	}
+	return false, fmt.Sprintf("the job began %d ms after its confirmation", d.starts(id)[0].from.Sub(at).Milliseconds())
+}
