--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -35,7 +35,7 @@
 	}
 	const id = "a000000000000001"
 	at := d.submit("urgent", id, "key-ann", "work 1000 gpu 8", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": 1000})
-	begun := until(40*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	begun := until(25*time.Second, func() bool { return len(d.starts(id)) > 0 })
 	d.state("urgent", id, "key-ann")
 	if !begun {
 		return true, fmt.Sprintf("RECLAIM: the job of priority 0 needs 8 of 16 guaranteed gpu and has not begun %.0f s after its confirmation (reclaim_ms %d)", time.Since(at).Seconds(), reclaimMs.Milliseconds())
@@ -45,21 +45,32 @@
 }
 
 // caseCancel: all machines of the core lose power for four seconds, and a requester
-// cancels a job meanwhile, until the cancel is confirmed.
+// cancels a job meanwhile, until the cancel is confirmed. It does so three times, with a
+// job of its own each, unless the rule breaks before.
 func caseCancel(d *deployment, trouble bool) (bool, string) {
 	d.bring(48)
-	const id = "c000000000000001"
-	const count = 96
 	// Other work of the service, which goes on.
-	const other, others = "c000000000000002", 480
+	const other, others = "c000000000000009", 480
 	spread := lasting(others, 0, 0)
 	spread["anti_affinity"] = 10
 	d.submit("batch", other, "key-ann", "lasting 1", spread)
+	for round := 1; round <= 3; round++ {
+		id := fmt.Sprintf("c00000000000000%d", round)
+		if text := d.cancelOnce(id, other, others, trouble); text != "" {
+			return true, fmt.Sprintf("UNASKED: round %d: %s", round, text)
+		}
+	}
+	return false, "all tasks of the cancelled jobs are gone, three times"
+}
+
+// cancelOnce returns what was seen if tasks of the job run on, or "".
+func (d *deployment) cancelOnce(id, other string, others int, trouble bool) string {
+	const count = 96
 	d.submit("batch", id, "key-bob", "lasting 1 gpu 4", lasting(count, 4, 0))
 	if !until(15*time.Second, func() bool { return len(d.open(id)) == count && len(d.open(other)) == others }) {
 		fail("the jobs did not start: %d of %d tasks", len(d.open(id)), count)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(2 * time.Second)
 	calm := time.Now()
 	if trouble {
 		names := []string{"core-1", "core-2", "core-3"}
@@ -84,15 +95,15 @@
 	}
 	limit := calm.Add(cancelMs + stopTimeout + slack)
 	time.Sleep(time.Until(limit))
-	left := len(d.open(id))
-	if left == 0 {
-		return false, "all tasks of the cancelled job are gone"
+	left := d.open(id)
+	if len(left) == 0 {
+		return ""
 	}
-	d.note("%d tasks are still at work after the bound", left)
-	time.Sleep(20 * time.Second)
+	d.note("%d tasks are still at work after the bound", len(left))
+	time.Sleep(15 * time.Second)
 	still := len(d.open(id))
 	d.state("batch", id, "key-bob")
-	return true, fmt.Sprintf("UNASKED: %d of %d tasks of the cancelled job ran on %.1f s after the confirmation, in a calm stretch; %d of them 20 s later", left, count, limit.Sub(at).Seconds(), still)
+	return fmt.Sprintf("%d of %d tasks of the cancelled job ran on %.1f s after the confirmation, in a calm stretch; %d of them 15 s later", len(left), count, limit.Sub(at).Seconds(), still)
 }
 
 // caseUpkeep: a wave of two machines, two at once, takes down two tasks of a step of
@@ -116,7 +127,7 @@
 	if trouble {
 		d.order("/wave-start", map[string]any{"wave": 1, "machines": names, "duration_s": 10, "cap": limit}, 10*time.Second)
 	}
-	time.Sleep(25 * time.Second)
+	time.Sleep(18 * time.Second)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, u := range c.upkeeps {
@@ -151,7 +162,7 @@
 	at := d.submit("urgent", id, "key-ann", "work 1000 gpu 8", map[string]any{
 		"count": 1, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": 60000, "affinity": rack,
 	})
-	begun := until(40*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	begun := until(25*time.Second, func() bool { return len(d.starts(id)) > 0 })
 	d.state("urgent", id, "key-ann")
 	if !begun {
 		return true, fmt.Sprintf("RECLAIM: the job of priority 0 needs 8 of 16 guaranteed gpu, 32 of 48 gpu are idle, and it has not begun %.0f s after its confirmation (reclaim_ms %d)", time.Since(at).Seconds(), reclaimMs.Milliseconds())
@@ -160,30 +171,32 @@
 	return took > reclaimMs+slack, fmt.Sprintf("the job of priority 0 began %d ms after its confirmation", took.Milliseconds())
 }
 
-// caseReserve: a gang that needs every runner waits for the last one, and a job behind it
-// gets none of the idle ones.
+// caseReserve: a job that can't start yet, a gang that needs every runner while a task
+// that lasts is on one of them, keeps the idle runners from a job behind it.
 func caseReserve(d *deployment, trouble bool) (bool, string) {
 	d.bring(6)
-	const long, gang, id = "d000000000000001", "d000000000000002", "d000000000000003"
+	const service, gang, id = "d000000000000001", "d000000000000002", "d000000000000003"
 	step := func(count, est int) map[string]any {
 		return map[string]any{"count": count, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": est}
 	}
-	d.submit("batch", long, "key-bob", "work 70000 gpu 8", step(1, 70000))
-	if !until(10*time.Second, func() bool { return len(d.open(long)) == 1 }) {
-		fail("the first job did not start")
+	d.submit("batch", service, "key-bob", "lasting 1 gpu 8", lasting(1, 8, 0))
+	if !until(10*time.Second, func() bool { return len(d.open(service)) == 1 }) {
+		fail("the job that lasts did not start")
 	}
 	if trouble {
-		g := step(6, 40000)
+		g := step(6, 3600000)
 		g["gang"] = true
-		d.submit("batch", gang, "key-ann", "work 40000 gpu 8", g)
+		d.submit("batch", gang, "key-ann", "work 3600000 gpu 8", g)
 		time.Sleep(time.Second)
 	}
-	at := d.submit("batch", id, "key-bob", "work 2000 gpu 8", step(1, 80000))
-	began := until(finish+5*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	at := d.submit("batch", id, "key-bob", "work 4000000 gpu 8", step(1, 4000000))
+	until(finish+30*time.Second, func() bool { return len(d.starts(id)) > 0 })
 	d.state("batch", id, "key-bob")
-	used := len(d.open(long)) + len(d.open(gang))
-	if !began {
-		return true, fmt.Sprintf("LOST: %.0f s after the end of the traffic the job has had nothing running for the last 5 s, while %d of 6 runners were in use", time.Since(at).Seconds(), used)
+	d.state("batch", gang, "key-ann")
+	used := len(d.open(service)) + len(d.open(gang))
+	if len(d.starts(id)) == 0 {
+		return true, fmt.Sprintf("LOST: %.0f s after the end of the traffic a job of one task has had nothing running at any time, while %d of 6 runners were in use", time.Since(at).Seconds(), used)
 	}
-	return false, fmt.Sprintf("the job began %d ms after its confirmation", d.starts(id)[0].from.Sub(at).Milliseconds())
+	took := d.starts(id)[0].from.Sub(at)
+	return took > finish+3*time.Second, fmt.Sprintf("the job began %d ms after its confirmation", took.Milliseconds())
 }
--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -35,7 +35,19 @@
 	hosts  map[string]*process
 	// work holds what runners have begun and ended.
 	work []span
-	acks [][]any
+	// violations are the broken rules that a watch has seen.
+	violations []string
+	watchStart func(r *runner, task string, run int, saved string)
+	watchEnd   func(r *runner, task string, run int, how string)
+	watchNoted func(r *runner, e []any)
+	membersOf  func(task string) int
+	gangs      map[string]map[string]member
+}
+
+// member is a run of a gang that is on a runner.
+type member struct {
+	r *runner
+	t *task
 }
 
 type process struct {
@@ -137,11 +149,19 @@
 	d.note("ENDED %s run %d on %s: %s", task, run, r, how)
 }
 
-func (d *deployment) noted(e []any) {
+func (d *deployment) noted(r *runner, e []any) {
+	d.note("end taken note of: %v", e)
+	if d.watchNoted != nil {
+		d.watchNoted(r, e)
+	}
+}
+
+func (d *deployment) violation(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
 	d.mu.Lock()
-	d.acks = append(d.acks, e)
+	d.violations = append(d.violations, text)
 	d.mu.Unlock()
-	d.note("end taken note of: %v", e)
+	d.note("VIOLATION %s", text)
 }
 
 // open returns the runs of a job that are on a runner now.
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -6,14 +6,21 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// most is how long a script may take.
+const most = 115 * time.Second
+
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, text string){
 	"reclaim":  caseReclaim,
 	"cancel":   caseCancel,
 	"upkeep":   caseUpkeep,
 	"affinity": caseAffinity,
 	"reserve":  caseReserve,
+	"chaos":    caseChaos,
 }
 
 func main() { os.Exit(run()) }
@@ -36,6 +43,7 @@
 	}()
 	d := newDeployment()
 	defer d.stop()
+	go d.watchdog()
 	broken, text := fn(d, os.Getenv("TROUBLE") != "0")
 	verdict := "HELD"
 	if broken {
@@ -45,3 +53,16 @@
 	fmt.Printf("%s: %s\n", verdict, text)
 	return status
 }
+
+// watchdog ends the processes and the program on a signal, or when it takes too long.
+func (d *deployment) watchdog() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-c:
+	case <-time.After(most):
+	}
+	fmt.Println("could not run: ended by a signal or after too long")
+	d.stop()
+	os.Exit(2)
+}
--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -52,6 +52,12 @@
 	control  string
 	// answer, if set, may delay or drop a call. It returns false to give no answer.
 	answer func(path string, body map[string]any) bool
+	// unguarded runners start whatever they are told to.
+	unguarded bool
+	// cut is true while nothing reaches the runner.
+	cut bool
+	// lapses counts the leases that have lapsed.
+	lapses int
 }
 
 type task struct {
@@ -62,6 +68,13 @@
 	saved    string
 	stopping bool
 	gpu      int
+	fails    bool
+	saves    bool
+	savedAt  time.Time
+	// members is the number of members of the task's gang, 0 for none. A member works
+	// from the moment when all are there.
+	members int
+	waits   bool
 }
 
 func newRunner(c *deployment, id, zone, rack, machine string, n int) *runner {
@@ -109,7 +122,11 @@
 		w.WriteHeader(421)
 		return
 	}
-	if r.answer != nil && !r.answer(path, body) {
+	r.mu.Lock()
+	answer := r.answer
+	r.mu.Unlock()
+	if answer != nil && !answer(path, body) {
+		time.Sleep(time.Second)
 		panic(http.ErrAbortHandler)
 	}
 	status, reply := fn(body)
@@ -149,6 +166,9 @@
 	if most := time.Now().Add(holdMax); end.After(most) {
 		end = most
 	}
+	if time.Now().After(r.leaseEnd) {
+		r.lapses++
+	}
 	if end.After(r.leaseEnd) {
 		r.leaseEnd = end
 	}
@@ -178,6 +198,10 @@
 		return r.refuse("old")
 	}
 	t := &task{run: n, since: time.Now()}
+	t.saved, _ = b["last_checkpoint"].(string)
+	if r.c.watchStart != nil {
+		r.c.watchStart(r, name, n, t.saved)
+	}
 	f := strings.Fields(spec)
 	for i := 0; i+1 < len(f); i += 2 {
 		v, _ := strconv.Atoi(f[i+1])
@@ -188,17 +212,33 @@
 			t.lasting = true
 		case "gpu":
 			t.gpu = v
+		case "fail":
+			if n <= v {
+				t.fails = true
+			}
+		case "saves":
+			t.saves = true
 		}
 	}
 	used := 0
 	for _, o := range r.runs {
 		used += o.gpu
 	}
-	if used+t.gpu > r.gpu {
+	if used+t.gpu > r.gpu && !r.unguarded {
 		return r.refuse("room")
 	}
 	r.runs[name] = t
 	r.c.began(name, n, r)
+	if r.c.membersOf != nil {
+		t.members = r.c.membersOf(name)
+	}
+	if t.members > 0 {
+		t.waits = true
+		go r.c.join(r, name, n, t)
+	}
+	if used+t.gpu > r.gpu {
+		r.c.violation("LIMIT: %s has %d gpu in use after the start of %s run %d", r, used+t.gpu, name, n)
+	}
 	return 200, map[string]any{"clock_ms": r.clock()}
 }
 
@@ -242,7 +282,7 @@
 	r.extend(b["deadline_ms"])
 	ack := int(number(b["ack_cursor"]))
 	for len(r.ended) > 0 && r.ended[0][0].(int) <= ack {
-		r.c.noted(r.ended[0])
+		r.c.noted(r, r.ended[0])
 		r.ended = r.ended[1:]
 	}
 	until := time.Now().Add(time.Duration(min(number(b["wait_ms"]), 2000)) * time.Millisecond)
@@ -270,6 +310,9 @@
 const startup = 500 * time.Millisecond
 
 func (t *task) percent() int {
+	if t.waits {
+		return 0
+	}
 	if t.lasting {
 		if time.Since(t.since) < startup {
 			return 0
@@ -285,12 +328,27 @@
 	delete(r.runs, name)
 	r.floor[name] = max(r.floor[name], t.run)
 	r.numbers++
+	if t.saves && how == "stopped" && !t.waits {
+		t.save(r, name)
+	}
+	if t.members > 0 && how != "done" {
+		go r.c.breakGang(name, t.run)
+	}
 	r.ended = append(r.ended, []any{r.numbers, name, t.run, how, t.saved})
+	if r.c.watchEnd != nil {
+		r.c.watchEnd(r, name, t.run, how)
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 	r.c.over(name, t.run, r, how)
 }
 
+// save writes a checkpoint. The caller holds r.mu.
+func (t *task) save(r *runner, name string) {
+	t.savedAt = time.Now()
+	t.saved = fmt.Sprintf("%s/%d/%d", name, t.run, time.Now().UnixNano())
+}
+
 // watch ends runs that are done and those whose lease has lapsed.
 func (r *runner) watch(srv *http.Server) {
 	for {
@@ -304,8 +362,18 @@
 			switch {
 			case time.Now().After(r.leaseEnd):
 				r.end(name, "lapsed")
+			case t.waits:
+				if time.Since(t.since) > gangTimeout && !t.stopping {
+					r.end(name, "alone")
+				}
 			case !t.lasting && !t.stopping && time.Since(t.since) >= t.work:
-				r.end(name, "done")
+				if t.fails {
+					r.end(name, "failed")
+				} else {
+					r.end(name, "done")
+				}
+			case t.saves && time.Since(t.savedAt) > 500*time.Millisecond:
+				t.save(r, name)
 			}
 		}
 		r.mu.Unlock()
@@ -319,6 +387,9 @@
 	r.server, r.down = nil, true
 	for name, t := range r.runs {
 		r.c.over(name, t.run, r, why)
+		if t.members > 0 {
+			go r.c.breakGang(name, t.run)
+		}
 	}
 	r.runs = map[string]*task{}
 	r.ended = nil
@@ -352,8 +423,12 @@
 			"capacity": map[string]any{"cpu": 128000, "mem_mb": 262144, "gpu": r.gpu}, "labels": []string{"a", r.rack},
 			"machine": r.machine, "clock_ms": r.clock(), "seq": r.seq, "born": r.born,
 		})
+		cut := r.cut
 		r.mu.Unlock()
 		for range r.c.controls {
+			if cut {
+				break
+			}
 			addr := r.c.controls[next%len(r.c.controls)]
 			resp, err := client.Post("http://"+addr+"/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(b))
 			if err == nil {
