--- a/review/second/chaos.go
+++ b/review/second/chaos.go
@@ -41,7 +41,6 @@
 	doneNoted := map[string]int{}    // and that was taken note of, by run
 	lapsesAt := map[string]int{}     // lapses of the runner at that end
 	failedNoted := map[string]int{}  // failed ends taken note of
-	saved := map[string]bool{}       // checkpoints handed out by steps
 	gangSaved := map[string]string{} // checkpoint of each run of a gang
 	lastCore := time.Now()           // the last disruption of the core
 	stepOf := func(name string) (*chaosJob, int, string) {
@@ -99,6 +98,9 @@
 				d.violation("ROUTE: %s run %d is the %dth of its step on %s, beyond anti_affinity %d", name, run, on, r, limit)
 			}
 		}
+		if !r.drained.IsZero() && time.Since(r.drained) > 2500*time.Millisecond && time.Since(lastCore) > contact {
+			d.violation("DRAIN: %s run %d starts on %s %.1f s after the acknowledgement that it drains", name, run, r, time.Since(r.drained).Seconds())
+		}
 		if !j.cancelled.IsZero() && time.Since(j.cancelled) > cancelMs && time.Since(lastCore) > contact {
 			d.violation("UNASKED: %s run %d starts %.1f s after its job was cancelled", name, run, time.Since(j.cancelled).Seconds())
 		}
@@ -305,7 +307,7 @@
 	h := hosts[rng.IntN(len(hosts))]
 	r := d.runners[rng.IntN(len(d.runners))]
 	span := time.Duration(500+rng.IntN(4500)) * time.Millisecond
-	switch rng.IntN(8) {
+	switch rng.IntN(10) {
 	case 0:
 		core()
 		d.signal(h, syscall.SIGKILL)
@@ -377,6 +379,19 @@
 		r.mu.Unlock()
 		r.setAnswer(nil)
 		d.note("%s is back", r)
+	case 8: // the runner drains and leaves, another one comes at its address
+		d.note("%s drains", r)
+		r.mu.Lock()
+		r.draining = true
+		r.drained = time.Time{}
+		r.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		d.call("POST", d.controls[rng.IntN(3)], "/instances/"+r.id+"/deregister", "", map[string]any{"born": r.born})
+		r.halt("left")
+		d.replace(rng, r)
+	case 9: // the runner crashes, another one comes at its address, and a late report arrives
+		r.halt("crash")
+		d.replace(rng, r)
 	case 7: // answers are lost, calls are carried out
 		d.note("%s loses answers", r)
 		r.setAnswer(func(path string, body map[string]any) bool {
@@ -449,3 +464,30 @@
 		m.r.mu.Unlock()
 	}
 }
+
+// replace starts another runner at the address of one that is gone, and sends a late
+// report of the old one.
+func (d *deployment) replace(rng *rand.Rand, r *runner) {
+	time.Sleep(300 * time.Millisecond)
+	next := &runner{c: d, id: fmt.Sprintf("%s-%d", strings.Split(r.id, "_")[0]+"_", rng.IntN(100000)), zone: r.zone, rack: r.rack, machine: r.machine, addr: r.addr, gpu: r.gpu, unguarded: true}
+	next.reset()
+	if err := next.serve(); err != nil {
+		d.note("%s did not start: %v", next, err)
+	}
+	d.mu.Lock()
+	for i := range d.runners {
+		if d.runners[i] == r {
+			d.runners[i] = next
+		}
+	}
+	d.mu.Unlock()
+	d.note("%s takes the place of %s", next, r)
+	time.AfterFunc(time.Duration(rng.IntN(2500))*time.Millisecond, func() {
+		status, _ := d.call("POST", d.controls[rand.IntN(3)], "/instances/"+r.id+"/heartbeat", "", map[string]any{
+			"service": "fit", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+			"capacity": map[string]any{"cpu": 128000, "mem_mb": 262144, "gpu": r.gpu}, "labels": []string{"a", r.rack},
+			"machine": r.machine, "clock_ms": r.clock(), "seq": r.seq + 1, "born": r.born,
+		})
+		d.note("late report of %s -> %d", r, status)
+	})
+}
--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -56,6 +56,8 @@
 	unguarded bool
 	// cut is true while nothing reaches the runner.
 	cut bool
+	// drained is when a report was acknowledged that said so.
+	drained time.Time
 	// lapses counts the leases that have lapsed.
 	lapses int
 }
@@ -434,6 +436,13 @@
 			if err == nil {
 				resp.Body.Close()
 				if resp.StatusCode/100 == 2 {
+					if state == "draining" {
+						r.mu.Lock()
+						if r.drained.IsZero() {
+							r.drained = time.Now()
+						}
+						r.mu.Unlock()
+					}
 					break
 				}
 			}
