--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 root=$(cd "$here/../.." && pwd)
 program="$root/target/review-2/second"
 [ -x "$program" ] || { echo "run review/build-2.sh first"; exit 2; }
-CASE=cancel RECORD="$here/record.txt" CARAWAYSHIFT="$root/target/carawayshift" exec "$program"
+CASE=leader RECORD="$here/record.txt" CARAWAYSHIFT="$root/target/carawayshift" exec "$program"
--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -200,3 +203,103 @@
 	took := d.starts(id)[0].from.Sub(at)
 	return took > finish+3*time.Second, fmt.Sprintf("the job began %d ms after its confirmation", took.Milliseconds())
 }
+
+// leader returns the number of the control host that began to lead last, counted from 0,
+// as its log says.
+func (d *deployment) leader() int {
+	best, at := -1, ""
+	for i := range 3 {
+		b, _ := os.ReadFile(filepath.Join(d.dir, fmt.Sprintf("core-%d.log", i+1)))
+		for _, line := range strings.Split(string(b), "\n") {
+			if !strings.Contains(line, `"event":"leading"`) {
+				continue
+			}
+			_, t, _ := strings.Cut(line, `"time":"`)
+			if t > at {
+				best, at = i, t
+			}
+		}
+	}
+	return best
+}
+
+// caseLeader: seven of 48 runners are taken away at short notice, and two of three
+// control hosts, one of them the leader, lose power for somewhat over a second meanwhile.
+func caseLeader(d *deployment, trouble bool) (bool, string) {
+	// Each runner reports to a control host of its own choice.
+	d.spread = true
+	d.bring(48)
+	const id = "f000000000000001"
+	const count, taken = 28, 7
+	d.submit("batch", id, "key-bob", "lasting 1 gpu 8", lasting(count, 8, 0))
+	if !until(15*time.Second, func() bool { return len(d.open(id)) == count }) {
+		fail("the job did not start: %d of %d tasks", len(d.open(id)), count)
+	}
+	time.Sleep(4 * time.Second)
+	lead := d.leader()
+	if lead < 0 {
+		fail("no leader")
+	}
+	// Runners with a task that report to one control host that doesn't lead.
+	stays := (lead + 1) % 3
+	var gone []span
+	for _, s := range d.open(id) {
+		if s.runner.first == stays && len(gone) < taken {
+			gone = append(gone, s)
+		}
+	}
+	d.note("core-%d leads; core-%d stays up", lead+1, stays+1)
+	const notice = 2 * time.Second
+	for _, s := range gone {
+		d.note("%s, with %s, is to be taken away in 2 s", s.runner, s.task)
+		s.runner.leave(notice)
+	}
+	for _, s := range gone {
+		if !until(time.Second, func() bool { return !s.runner.confirmed().IsZero() }) {
+			fail("an announcement was not acknowledged")
+		}
+	}
+	at := time.Now()
+	var names []string
+	for i := range 3 {
+		if i != stays {
+			names = append(names, fmt.Sprintf("core-%d", i+1))
+		}
+	}
+	if trouble {
+		time.Sleep(time.Until(at.Add(900 * time.Millisecond)))
+		for _, n := range names {
+			d.signal(n, syscall.SIGKILL)
+		}
+		for _, n := range names {
+			d.wait(n)
+		}
+	}
+	time.Sleep(time.Until(at.Add(notice)))
+	for _, s := range gone {
+		s.runner.halt("taken away")
+	}
+	if trouble {
+		for _, n := range names {
+			d.launch(n)
+		}
+	}
+	missing := func() (list []string) {
+		for _, s := range gone {
+			if len(d.open(s.task)) == 0 {
+				list = append(list, s.task)
+			}
+		}
+		return list
+	}
+	// The time until control hosts are in touch, the lease, the 6 s and 3 s of the rule,
+	// and 10 s more.
+	limit := time.Now().Add(contact + holdMax + 9*time.Second + 10*time.Second)
+	if until(time.Until(limit), func() bool { return len(missing()) == 0 }) {
+		return false, fmt.Sprintf("all %d tasks are at work again %.1f s after their runners were taken away", len(gone), time.Since(at.Add(notice)).Seconds())
+	}
+	time.Sleep(20 * time.Second)
+	list := missing()
+	status, text := d.state("batch", id, "key-bob")
+	return len(list) > 0, fmt.Sprintf("LOST: %d of %d tasks that last have had nothing running for %.0f s since their runners were taken away, while 13 runners or more are idle: %s; the job: %d %s", len(list), len(gone), time.Since(at.Add(notice)).Seconds(), strings.Join(list, " "), status, text)
+}
--- a/review/second/chaos.go
+++ b/review/second/chaos.go
@@ -381,10 +381,7 @@
 		d.note("%s is back", r)
 	case 8: // the runner drains and leaves, another one comes at its address
 		d.note("%s drains", r)
-		r.mu.Lock()
-		r.draining = true
-		r.drained = time.Time{}
-		r.mu.Unlock()
+		r.leave(4 * time.Second)
 		time.Sleep(4 * time.Second)
 		d.call("POST", d.controls[rng.IntN(3)], "/instances/"+r.id+"/deregister", "", map[string]any{"born": r.born})
 		r.halt("left")
--- a/review/second/deployment.go
+++ b/review/second/deployment.go
@@ -40,8 +40,10 @@
 	watchStart func(r *runner, task string, run int, saved string)
 	watchEnd   func(r *runner, task string, run int, how string)
 	watchNoted func(r *runner, e []any)
-	membersOf  func(task string) int
-	gangs      map[string]map[string]member
+	// spread makes runners report to different control hosts.
+	spread    bool
+	membersOf func(task string) int
+	gangs     map[string]map[string]member
 }
 
 // member is a run of a gang that is on a runner.
@@ -414,6 +416,9 @@
 	for i := range n {
 		r := newRunner(d, fmt.Sprintf("i-%d", i+1), zoneNames[i%3], fmt.Sprintf("r%d-%d", i%3, i/24), fmt.Sprintf("m-%d", i+1), i+1)
 		d.runners = append(d.runners, r)
+		if d.spread {
+			r.first = i % 3
+		}
 		if err := r.serve(); err != nil {
 			fail("%v", err)
 		}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -20,6 +20,7 @@
 	"upkeep":   caseUpkeep,
 	"affinity": caseAffinity,
 	"reserve":  caseReserve,
+	"leader":   caseLeader,
 	"chaos":    caseChaos,
 }
 
--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -55,8 +55,12 @@
 	// unguarded runners start whatever they are told to.
 	unguarded bool
 	// cut is true while nothing reaches the runner.
-	cut bool
-	// drained is when a report was acknowledged that said so.
+	cut    bool
+	leaves time.Time
+	// now makes the runner report at once, first is the control host that it reports to.
+	now   chan struct{}
+	first int
+	// drained is when a report was acknowledged that said that it drains.
 	drained time.Time
 	// lapses counts the leases that have lapsed.
 	lapses int
@@ -90,6 +94,7 @@
 	r.born, r.start, r.seq, r.fence = time.Now().UnixMilli(), time.Now(), 0, 0
 	r.runs, r.floor, r.ended, r.numbers = map[string]*task{}, map[string]int{}, nil, 0
 	r.changed, r.leaseEnd, r.down = make(chan struct{}), time.Time{}, false
+	r.now = make(chan struct{}, 1)
 }
 
 func (r *runner) serve() error {
@@ -406,7 +411,7 @@
 // beat reports the runner to control hosts, the last one that answered first.
 func (r *runner) beat(srv *http.Server) {
 	client := &http.Client{Timeout: time.Second}
-	next := 0
+	next := r.first
 	// Runners don't report at the same moments.
 	time.Sleep(rand.N(heartbeat))
 	for {
@@ -416,12 +421,13 @@
 			return
 		}
 		r.seq++
-		state := "ready"
+		state, left := "ready", int64(0)
 		if r.draining {
-			state = "draining"
+			state, left = "draining", max(0, time.Until(r.leaves).Milliseconds())
 		}
 		b, _ := json.Marshal(map[string]any{
-			"service": "fit", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+			"remaining_ms": left,
+			"service":      "fit", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
 			"capacity": map[string]any{"cpu": 128000, "mem_mb": 262144, "gpu": r.gpu}, "labels": []string{"a", r.rack},
 			"machine": r.machine, "clock_ms": r.clock(), "seq": r.seq, "born": r.born,
 		})
@@ -448,8 +454,26 @@
 			}
 			next++
 		}
-		time.Sleep(heartbeat)
+		select {
+		case <-r.now:
+		case <-time.After(heartbeat):
+		}
 	}
 }
 
+// leave announces that the runner leaves after a time.
+func (r *runner) leave(after time.Duration) {
+	r.mu.Lock()
+	r.draining, r.leaves, r.drained = true, time.Now().Add(after), time.Time{}
+	r.mu.Unlock()
+	r.now <- struct{}{}
+}
+
+// confirmed returns when the announcement was acknowledged, or zero.
+func (r *runner) confirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.drained
+}
+
 func (r *runner) String() string { return fmt.Sprintf("%s on %s", r.id, r.machine) }
