--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -303,3 +303,30 @@
 	status, text := d.state("batch", id, "key-bob")
 	return len(list) > 0, fmt.Sprintf("LOST: %d of %d tasks that last have had nothing running for %.0f s since their runners were taken away, while 13 runners or more are idle: %s; the job: %d %s", len(list), len(gone), time.Since(at.Add(notice)).Seconds(), strings.Join(list, " "), status, text)
 }
+
+// caseForeign: for each runner one report of another writer comes, with its id and a
+// higher seq, in which a field is missing.
+func caseForeign(d *deployment, trouble bool) (bool, string) {
+	d.bring(6)
+	if trouble {
+		for _, r := range d.runners {
+			r.mu.Lock()
+			report := map[string]any{
+				"service": "fit", "address": r.addr, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
+				"capacity": map[string]any{"cpu": 128000, "mem_mb": 262144, "gpu": r.gpu}, "machine": r.machine, "clock_ms": r.clock(), "seq": r.seq + 1000, "born": r.born,
+			}
+			r.mu.Unlock()
+			status, _ := d.call("POST", d.controls[0], "/instances/"+r.id+"/heartbeat", "", report)
+			d.note("report of another writer for %s, without labels -> %d", r, status)
+		}
+		time.Sleep(8 * time.Second)
+	}
+	const id = "a000000000000003"
+	at := d.submit("urgent", id, "key-ann", "work 1000 gpu 8", map[string]any{"count": 1, "cpu": 1000, "mem_mb": 1024, "gpu": 8, "est_runtime_ms": 1000})
+	until(finish+15*time.Second, func() bool { return len(d.starts(id)) > 0 })
+	d.state("urgent", id, "key-ann")
+	if len(d.starts(id)) == 0 {
+		return true, fmt.Sprintf("LOST: %.0f s after the end of the traffic the job has had nothing running at any time, while 6 of 6 runners are idle", time.Since(at).Seconds())
+	}
+	return false, fmt.Sprintf("the job began %d ms after its confirmation", d.starts(id)[0].from.Sub(at).Milliseconds())
+}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -21,6 +21,7 @@
 	"affinity": caseAffinity,
 	"reserve":  caseReserve,
 	"leader":   caseLeader,
+	"foreign":  caseForeign,
 	"chaos":    caseChaos,
 }
 
