--- a/review/second/runner.go
+++ b/review/second/runner.go
@@ -137,7 +137,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	status, reply := fn(body)
-	if path != "/hold" {
+	if path == "/hold" {
+		running, _ := reply["running"].([][]any)
+		ended, _ := reply["ended"].([][]any)
+		r.c.note("%s /hold deadline %v ack %v fence %v -> %d running %d ended %v %v", r.id, body["deadline_ms"], body["ack_cursor"], body["fencing_token"], status, len(running), ended, reply["reason"])
+	} else {
 		r.c.note("%s %s %s run %v fence %v -> %d %v", r.id, path, body["task"], body["run"], body["fencing_token"], status, reply["reason"])
 	}
 	out, _ := json.Marshal(reply)
@@ -439,7 +443,11 @@
 			}
 			addr := r.c.controls[next%len(r.c.controls)]
 			resp, err := client.Post("http://"+addr+"/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(b))
+			if err != nil {
+				r.c.note("%s heartbeat %s to %s -> no answer", r.id, state, addr)
+			}
 			if err == nil {
+				r.c.note("%s heartbeat %s to %s -> %d", r.id, state, addr, resp.StatusCode)
 				resp.Body.Close()
 				if resp.StatusCode/100 == 2 {
 					if state == "draining" {
