dispatcher: runs are adopted before their stop is requested

Cause: a new leader's first plan requested the stop of obsolete runs before it adopted them. The request was noted, the goroutine that sends the stop found no such run in the session and returned, and the note kept every later stop back. In a failed run of the case on the code as found the leader's log has one line "stopping" for each of the two tasks that ran on, and the record has no /run-stop for them. Ruled out: an unanswered stop (no line "order failed"), and a stop that the planner didn't ask for.

Change: the open runs are adopted under the lock under which the stops are requested, before them, and a stop is noted only for a run that the session knows, so that it is requested again otherwise. The same reasoning was looked for in stopGang and preempt (both go through stopLocked), in decideAdopted and in replaceSession (both stop the session's own run).

--- a/internal/dispatcher/adopt_test.go
+++ b/internal/dispatcher/adopt_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -47,3 +48,31 @@
 		})
 	}
 }
+
+// A batch is cancelled while there is no leader. The next leader asks for the stop of a run
+// before its session has adopted it; the run must be stopped all the same.
+func TestRunIsStoppedOnceItIsAdopted(t *testing.T) {
+	play(t, 1, 1, func(ctx context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Hour }
+		time.Sleep(2 * time.Second)
+		r.submit("b", single(1))
+		time.Sleep(time.Second)
+		_, open := r.machine.Batches().OpenWork()
+		o.Expect(open).To(HaveLen(1))
+		r.setMute("i-0")
+		r.depose()
+		r.cancel("b")
+		r.elect(ctx)
+		time.Sleep(10 * time.Millisecond)
+
+		term := r.leader().current()
+		term.mu.Lock()
+		term.sessions["i-0"] = newSession(term, r.agents["i-0"].Report(), time.Now())
+		term.stopLocked(open[0].Task, open[0].Run, "i-0", "its batch has ended")
+		term.mu.Unlock()
+		synctest.Wait() // the stop is handled before the next plan adopts the run
+		time.Sleep(2 * time.Second)
+		o.Expect(r.outcomes(open[0].Task)).To(Equal([]carawayshift.RunOutcome{carawayshift.RunStopped}))
+	})
+}
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -134,9 +134,9 @@
 	// The runs are checked before the input is made: ends that arrive while the
 	// plan is made are not part of it.
 	unconfirmed := t.hasUnconfirmedRuns()
-	input := t.dispatchInput(now)
+	input, adopted := t.dispatchInput(now)
 	t.d.gauges.update(input, t.runnerCount())
-	unconfirmed = t.adoptOpenRuns(input) || unconfirmed
+	unconfirmed = unconfirmed || adopted
 	plan := t.d.cfg.Planner.Dispatch(input)
 	t.logWaits(plan.Waits)
 	t.preempt(plan.Stops, unconfirmed)
@@ -201,15 +201,16 @@
 }
 
 // dispatchInput returns the planner's input, with the runners whose reports are
-// recent. It also stops the runs that are obsolete, stalled, or would not end
-// before their runner exits.
-func (t *leaderTerm) dispatchInput(now time.Time) carawayshift.DispatchInput {
+// recent. It also adopts the runs of earlier terms, and then stops the runs that are
+// obsolete, stalled, or would not end before their runner exits. adopted is true if a
+// session has adopted a run.
+func (t *leaderTerm) dispatchInput(now time.Time) (in carawayshift.DispatchInput, adopted bool) {
 	demands, openRuns := t.d.cfg.Table.OpenWork()
 	for i := range demands {
 		demands[i].Excluded = t.d.outliers.FailedOn(demands[i].Batch)
 		demands[i].Expected = t.d.runTimes.Estimate(demands[i].Queue.Name, demands[i].Requirements.Declared)
 	}
-	in := carawayshift.DispatchInput{Now: now, Demands: demands, Guarantees: map[string]int{}, ClosedZones: t.d.cfg.ClosedZones()}
+	in = carawayshift.DispatchInput{Now: now, Demands: demands, Guarantees: map[string]int{}, ClosedZones: t.d.cfg.ClosedZones()}
 	for _, m := range t.d.cfg.Table.Catalog().Teams {
 		in.Guarantees[m.Team] = m.Guarantee
 	}
@@ -225,6 +226,7 @@
 	}
 	t.pruneAdvice(in.Demands)
 	t.d.outliers.Forget(func(b string) bool { return t.d.cfg.Table.Active(b) })
+	adopted = t.adoptOpenRuns(openRuns)
 	for i := range openRuns {
 		o := &openRuns[i]
 		o.Expected = t.d.runTimes.Estimate(o.Queue, o.Requirements.Declared)
@@ -245,7 +247,7 @@
 		}
 	}
 	in.OpenRuns = openRuns
-	return in
+	return in, adopted
 }
 
 // maxEjectedShare is the share of a service's runners that are ejected at most. Beyond it
@@ -335,12 +337,10 @@
 
 // adoptOpenRuns adopts the runs that were started in an earlier term. Runs
 // whose runner is unknown are recorded as lost once their leases have certainly
-// expired. It returns true if a session has adopted a run.
-func (t *leaderTerm) adoptOpenRuns(in carawayshift.DispatchInput) (adopted bool) {
-	// Under one lock, so that the next renewal covers all runs of a runner.
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, o := range in.OpenRuns {
+// expired. It returns true if a session has adopted a run. The caller holds t.mu while
+// it handles all runs, so that the next renewal covers all runs of a runner.
+func (t *leaderTerm) adoptOpenRuns(openRuns []carawayshift.OpenRun) (adopted bool) {
+	for _, o := range openRuns {
 		if t.requested[o.Task] == o.Run {
 			continue
 		}
@@ -460,13 +460,14 @@
 }
 
 // stopLocked asks a run's session to stop it. Further calls for the same run do
-// nothing. The caller holds t.mu.
+// nothing. A run that the session has not adopted yet is not noted as stopping: its stop
+// is requested again once it is adopted. The caller holds t.mu.
 func (t *leaderTerm) stopLocked(task carawayshift.TaskName, run int, runner, reason string) {
 	s := t.sessions[runner]
 	if s == nil || t.stopping[task] == run {
 		return
 	}
-	if r := s.find(task, run); r != nil && r.ended {
+	if r := s.find(task, run); r == nil || r.ended {
 		return
 	}
 	t.stopping[task] = run
