maintenance: tasks on all machines that go down together count

Cause: whether a machine may go down was decided for each machine by itself, and all machines that were allowed were taken in one pass.

Change: the tasks on the machines that are selected in a pass, and in the passes of other waves, count together. A task is available only if its runner lists it with complete progress in a renewal sent after the last request for its machine; it is uncertain while a request without an answer may still be carried out. Repeated requests are checked like new ones, also by a new leader. A machine that is not listed is one with tasks. Machines that are next in one wave stay drained while another wave is handled.

--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -49,6 +49,9 @@
 	// those whose maintenance request was confirmed.
 	draining             map[string]bool
 	maintenanceConfirmed map[waveMachine]bool
+	// maintenanceRequested holds when the last maintenance request of this term for a
+	// machine ended, maintenanceLate until when one without an answer may be carried out.
+	maintenanceRequested, maintenanceLate map[waveMachine]time.Time
 	// maintenanceGone holds the machines that don't exist.
 	maintenanceGone map[waveMachine]bool
 	wg              sync.WaitGroup
@@ -64,8 +67,8 @@
 		d: d, term: term, started: time.Now(), resign: resign,
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
 		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{}, stopping: map[carawayshift.TaskName]int{},
-		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{},
-		requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
+		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{}, maintenanceRequested: map[waveMachine]time.Time{}, maintenanceLate: map[waveMachine]time.Time{},
+		draining: map[string]bool{}, requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
 	}
 	t.client = permittedClient{d.cfg.Client, t}
 	return t
--- a/internal/dispatcher/maintenance.go
+++ b/internal/dispatcher/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,45 +25,93 @@
 func (t *leaderTerm) maintenanceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, waveInterval)
+		var draining []string
 		for _, w := range t.d.cfg.Table.Waves() {
 			if !w.Complete() && ctx.Err() == nil {
-				t.advanceWave(ctx, w)
+				draining = append(draining, t.advanceWave(ctx, w)...)
 			}
 		}
+		t.setDraining(draining)
 	}
 }
 
-func (t *leaderTerm) advanceWave(ctx context.Context, w carawayshift.Wave) {
+// advanceWave requests the maintenance of the machines that are next, and returns the
+// machines that must get no new work.
+func (t *leaderTerm) advanceWave(ctx context.Context, w carawayshift.Wave) (draining []string) {
 	call, cancel := context.WithTimeout(ctx, servicesTimeout)
 	defer cancel()
 	list, err := t.d.cfg.Machines.List(call)
 	if err != nil {
 		t.log.WithError(err).WithField("event", "machines unknown").Warn("listing the machines failed")
-		return
+		return nil
 	}
 	listed := map[string]carawayshift.Machine{}
 	for _, m := range list {
 		listed[m.Name] = m
 	}
 	if t.recordDone(ctx, w, listed) {
-		return // the next iteration sees the new state of the wave
+		return nil // the next iteration sees the new state of the wave
 	}
-	for _, m := range w.Started {
-		_, present := listed[m]
-		if !slices.Contains(w.Done, m) && (!present || !t.isConfirmed(w.ID, m)) {
-			t.requestMaintenance(ctx, w, m)
-		}
-	}
-	start, drain := maintenance.Next(maintenance.Input{
-		Now: time.Now(), Wave: w, Machines: t.waveMachines(w, listed), Duration: t.d.cfg.Timing.Maintenance + waveInterval,
-	})
-	t.setDraining(append(drain, start...))
-	for _, m := range start {
-		if t.propose(ctx, &carawayshift.BatchChange{Upkeep: []carawayshift.WaveStep{{Wave: w.ID, Machine: m}}}) != nil {
-			return
+	request, drain := t.nextMaintenance(w, listed)
+	for i, m := range request {
+		if !slices.Contains(w.Started, m) && t.propose(ctx, &carawayshift.BatchChange{Upkeep: []carawayshift.WaveStep{{Wave: w.ID, Machine: m}}}) != nil {
+			t.withdrawRequests(w.ID, request[i:])
+			break
 		}
 		t.requestMaintenance(ctx, w, m)
 	}
+	return append(drain, request...)
+}
+
+// nextMaintenance selects the machines whose maintenance is to be requested now, and
+// those that come next. From here on the tasks on the selected machines count as
+// uncertain: no other order may rely on them.
+func (t *leaderTerm) nextMaintenance(w carawayshift.Wave, listed map[string]carawayshift.Machine) (request, drain []string) {
+	_, openRuns := t.d.cfg.Table.OpenWork()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	request, drain = maintenance.Next(t.waveInput(w, listed, openRuns))
+	t.draining = maps.Clone(t.draining)
+	for _, m := range append(drain, request...) {
+		t.draining[m] = true
+	}
+	for _, m := range request {
+		t.maintenanceRequested[waveMachine{w.ID, m}] = time.Now().Add(requestPending)
+	}
+	return request, drain
+}
+
+// requestPending is added to the time of a request that has not been sent or answered
+// yet. It is longer than any request.
+const requestPending = time.Hour
+
+// lateCallLimit is how long after it was sent a call without an answer may still be carried
+// out.
+const lateCallLimit = 15 * time.Second
+
+// requestEnded records the end of a maintenance request. One without an answer may still
+// be carried out.
+func (t *leaderTerm) requestEnded(m waveMachine, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maintenanceRequested[m] = time.Now()
+	switch carawayshift.KindOf(err) {
+	case carawayshift.Conflict, carawayshift.NotFound, carawayshift.Refused:
+	default:
+		t.maintenanceLate[m] = time.Now().Add(lateCallLimit)
+	}
+	if err == nil {
+		delete(t.maintenanceLate, m)
+	}
+}
+
+// withdrawRequests records that selected requests were not sent.
+func (t *leaderTerm) withdrawRequests(wave int, names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range names {
+		t.maintenanceRequested[waveMachine{wave, m}] = time.Now()
+	}
 }
 
 type waveMachine struct {
@@ -110,6 +159,7 @@
 	if err == nil {
 		err = t.d.cfg.Machines.Upkeep(call, t.d.cfg.Host, t.term, machine, w.ID)
 	}
+	t.requestEnded(waveMachine{w.ID, machine}, err)
 	entry := t.log.WithFields(logrus.Fields{"event": "upkeep", "wave": w.ID, "machine": machine})
 	switch carawayshift.KindOf(err) {
 	case carawayshift.Conflict:
@@ -141,40 +191,140 @@
 	}
 }
 
-// waveMachines combines the platform's list of machines with the open runs. The
+// waveInput combines the platform's list of machines with the open runs. The
 // maintenance of a machine that is not listed is requested like that of others: the
-// response shows whether it exists.
-func (t *leaderTerm) waveMachines(w carawayshift.Wave, listed map[string]carawayshift.Machine) []maintenance.Machine {
-	_, openRuns := t.d.cfg.Table.OpenWork()
-	available := t.countAvailable(openRuns)
-	var out []maintenance.Machine
-	for _, name := range w.Machines {
+// response shows whether it exists. The caller holds t.mu.
+func (t *leaderTerm) waveInput(w carawayshift.Wave, listed map[string]carawayshift.Machine, openRuns []carawayshift.OpenRun) maintenance.Input {
+	v := maintenance.Input{
+		Now: time.Now(), Wave: w, Duration: t.d.cfg.Timing.Maintenance + waveInterval,
+		Unavailable: map[carawayshift.TaskName]int{}, MaxUnavailable: map[carawayshift.TaskName]int{},
+	}
+	index := map[string]int{}
+	for i, name := range w.Machines {
 		found, present := listed[name]
-		m := maintenance.Machine{Name: name, Up: !present || found.State == carawayshift.MachineUp}
-		onMachine := map[carawayshift.TaskName]int{}
-		for _, o := range openRuns {
-			if o.Runner != found.Runner {
-				continue
-			}
-			m.Runs++
-			step := stepOf(o.Task)
-			onMachine[step]++
-			unavailable := o.Requirements.Count - available[step]
-			m.Blocked = m.Blocked || o.Requirements.MaxUnavailable > 0 && unavailable+onMachine[step] > o.Requirements.MaxUnavailable
+		pending := slices.Contains(w.Started, name) && !slices.Contains(w.Done, name)
+		index[name] = i
+		v.Machines = append(v.Machines, maintenance.Machine{
+			Name: name, Up: !present || found.State == carawayshift.MachineUp,
+			Unconfirmed: pending && (!present || !t.maintenanceConfirmed[waveMachine{w.ID, name}]),
+			Tasks:       map[carawayshift.TaskName]maintenance.Tasks{},
+		})
+	}
+	machines, requested := t.machinesByRunner(listed), t.unfinishedRequests()
+	// unplaced counts the tasks whose machine is not known: it may be any that is not
+	// listed.
+	unplaced := map[carawayshift.TaskName]maintenance.Tasks{}
+	for _, o := range openRuns {
+		machine := machines[o.Runner]
+		i, inWave := index[machine]
+		if inWave {
+			v.Machines[i].Runs++
 		}
-		out = append(out, m)
+		if o.Requirements.MaxUnavailable == 0 || o.BatchEnded {
+			continue
+		}
+		step, state := stepOf(o.Task), t.availabilityOf(o, requested[machine])
+		if _, known := v.MaxUnavailable[step]; !known {
+			v.MaxUnavailable[step], v.Unavailable[step] = o.Requirements.MaxUnavailable, o.Requirements.Count
+		}
+		if state == available {
+			v.Unavailable[step]--
+		}
+		switch {
+		case inWave:
+			v.Machines[i].Tasks[step] = countTask(v.Machines[i].Tasks[step], state)
+		case machine == "":
+			unplaced[step] = countTask(unplaced[step], state)
+		}
+	}
+	for i, m := range v.Machines {
+		if _, present := listed[m.Name]; present {
+			continue
+		}
+		for step, n := range unplaced {
+			n.Uncertain += m.Tasks[step].Uncertain
+			n.Available += m.Tasks[step].Available
+			m.Tasks[step] = n
+		}
+		v.Machines[i] = m
 	}
-	return out
+	return v
 }
 
-// countAvailable counts the tasks of each step that have run for longer than
-// Timing.ReadyDelay and so count as available.
-func (t *leaderTerm) countAvailable(openRuns []carawayshift.OpenRun) map[carawayshift.TaskName]int {
-	n := map[carawayshift.TaskName]int{}
-	for _, o := range openRuns {
-		if time.Since(o.Ordered) > t.d.cfg.Timing.ReadyDelay {
-			n[stepOf(o.Task)]++
-		}
+// countTask adds a task to the count of a machine.
+func countTask(n maintenance.Tasks, state availability) maintenance.Tasks {
+	switch state {
+	case available:
+		n.Available++
+	case uncertain:
+		n.Uncertain++
 	}
 	return n
 }
+
+// machinesByRunner returns the machine of each runner, from the platform's list and from
+// the reports. The caller holds t.mu.
+func (t *leaderTerm) machinesByRunner(listed map[string]carawayshift.Machine) map[string]string {
+	machines := make(map[string]string, len(listed))
+	for name, m := range listed {
+		machines[m.Runner] = name
+	}
+	for id, s := range t.sessions {
+		machines[id] = s.agent.Machine
+	}
+	return machines
+}
+
+// unfinishedRequests returns, for the machines whose maintenance is not known to be done,
+// the time after which no request is carried out any more. Requests of an earlier leader
+// may be sent up to servicesTimeout after this term has begun. The caller holds t.mu.
+func (t *leaderTerm) unfinishedRequests() map[string]time.Time {
+	ends := map[string]time.Time{}
+	for _, w := range t.d.cfg.Table.Waves() {
+		if w.Complete() {
+			continue
+		}
+		for _, name := range w.Machines {
+			end, sent := t.maintenanceRequested[waveMachine{w.ID, name}]
+			if late := t.maintenanceLate[waveMachine{w.ID, name}]; late.After(end) {
+				end = late
+			}
+			if !sent && slices.Contains(w.Started, name) {
+				end = t.started.Add(servicesTimeout + lateCallLimit)
+			}
+			if end.After(ends[name]) && !slices.Contains(w.Done, name) {
+				ends[name] = end
+			}
+		}
+	}
+	return ends
+}
+
+// availability tells whether a long-running task is at work.
+type availability int
+
+const (
+	uncertain availability = iota
+	available
+	unavailable
+)
+
+// availabilityOf returns the availability of an open run, of which only what the runner
+// listed after the time requested counts. A run that is starting may be at work at any
+// moment. The caller holds t.mu.
+func (t *leaderTerm) availabilityOf(o carawayshift.OpenRun, requested time.Time) availability {
+	s := t.sessions[o.Runner]
+	if s == nil || s.unanswered || s.exited || s.agent.Leaving || t.stopping[o.Task] == o.Run {
+		return uncertain
+	}
+	r := s.find(o.Task, o.Run)
+	switch {
+	case r == nil || r.ended || !r.listed.After(requested):
+		return uncertain
+	case r.atWork:
+		return available
+	case time.Since(o.Ordered) > t.d.cfg.Timing.ReadyDelay:
+		return unavailable
+	}
+	return uncertain
+}
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -13,6 +13,9 @@
 // earlyShare is the part of the expected run time in which a failure is early.
 const earlyShare = 0.25
 
+// fullProgress is the progress of a long-running task that is at work, in percent.
+const fullProgress = 100
+
 // renewLoop renews the runner's leases while runs are open on it, and otherwise
 // waits until one is started.
 func (s *session) renewLoop() {
@@ -242,6 +245,7 @@
 				known.checkpoint = r.Checkpoint
 			}
 			known.begun = true
+			known.listed, known.atWork = sent, r.Percent >= fullProgress
 			known.progress.Update(r.Percent, time.Now())
 			continue
 		}
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -24,6 +24,7 @@
 // leaders share one log, as replicas of it would.
 type rig struct {
 	t       *testing.T
+	ctx     context.Context
 	rng     *rand.Rand
 	machine *state.Machine
 	agents  map[string]*agent.Agent
@@ -147,7 +148,7 @@
 				ID: id, Incarnation: 1, Service: "fit", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i%2),
 				Machine: "m-" + id, Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
 			},
-			Work: r.work, Gang: r.gangOf, Gangs: gangs, OnStart: r.onStart, OnEnd: r.onEnd, OnAcknowledge: r.onAcknowledge,
+			Work: r.work, Lasts: r.lasts, Startup: time.Second, Gang: r.gangOf, Gangs: gangs, OnStart: r.onStart, OnEnd: r.onEnd, OnAcknowledge: r.onAcknowledge,
 			StopDuration: 300 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLease: rigTiming.Lease, MaxEnds: rigMaxEnds,
 		})
 	}
@@ -178,6 +179,12 @@
 	return time.Duration(500+r.random()*2500) * time.Millisecond, false
 }
 
+func (r *rig) lasts(task carawayshift.TaskName) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.need[task.Batch].LongRunning
+}
+
 func (r *rig) gangOf(task carawayshift.TaskName) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/dispatcher/services_test.go
+++ b/internal/dispatcher/services_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,6 +45,20 @@
 	// unlisted holds machines that exist and are missing in the list, gone those that
 	// don't exist.
 	unlisted, gone map[string]bool
+	// rig, if not nil, has the runners of the machines, which crash when maintenance
+	// begins. violations are the machines that were taken down with a task at work while
+	// another task was not.
+	rig        *rig
+	violations []string
+	// loseRequests, lateRequests and loseAnswers count the next requests that are lost or
+	// carried out seconds later, and the next answers that are lost.
+	loseRequests, lateRequests, loseAnswers int
+}
+
+func (m *machines) requestCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.requests)
 }
 
 var machineNames = []string{"m-i-0", "m-i-1", "m-i-2", "m-i-3", "m-i-4"}
@@ -65,16 +80,28 @@
 	return list, nil
 }
 
-func (m *machines) Upkeep(_ context.Context, _ string, _ uint64, machine string, _ int) error {
+func (m *machines) Upkeep(ctx context.Context, _ string, _ uint64, machine string, _ int) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.gone[machine] {
 		return carawayshift.NewError(carawayshift.NotFound, "no machine "+machine, "")
 	}
+	if m.loseRequests > 0 {
+		m.loseRequests--
+		return errNoAnswer
+	}
+	if m.lateRequests > 0 {
+		m.lateRequests--
+		time.AfterFunc(12*time.Second, func() { _ = m.Upkeep(ctx, "", 0, machine, 0) })
+		return errNoAnswer
+	}
 	m.requests[machine]++
 	if m.requests[machine] > 1 {
 		return nil
 	}
+	if m.rig != nil {
+		m.takeDown(machine)
+	}
 	m.backAt[machine] = time.Now().Add(2 * time.Second)
 	down := 0
 	for _, at := range m.backAt {
@@ -83,9 +110,44 @@
 		}
 	}
 	m.maxDown = max(m.maxDown, down)
+	if m.loseAnswers > 0 {
+		m.loseAnswers--
+		return errNoAnswer
+	}
 	return nil
 }
 
+// takeDown crashes the runner of a machine, and cuts it off for the maintenance. The
+// caller holds m.mu.
+func (m *machines) takeDown(machine string) {
+	here, elsewhere := 0, 0
+	for id := range m.rig.agents {
+		switch n := m.rig.tasksAtWork(id); {
+		case "m-"+id == machine:
+			here += n
+		default:
+			elsewhere += n
+		}
+	}
+	if here > 0 && here+elsewhere < len(machineNames) {
+		m.violations = append(m.violations, fmt.Sprintf("%s was taken down with a task at work, %d others were at work:\n%s", machine, elsewhere, m.rig.trace.about("")))
+	}
+	id := machine[2:]
+	m.rig.net.setCut(id, true)
+	m.rig.agents[id].Crash()
+	time.AfterFunc(2*time.Second, func() { m.rig.net.setCut(id, false) })
+}
+
+// tasksAtWork returns the number of long-running tasks that are at work on a runner.
+func (r *rig) tasksAtWork(id string) (n int) {
+	for _, run := range r.agents[id].Status().Running {
+		if run.Percent == 100 {
+			n++
+		}
+	}
+	return n
+}
+
 // playWithServices runs fn with a leader, five reporting runners and the given
 // platform services, in simulated time.
 func playWithServices(t *testing.T, a carawayshift.Advisor, m carawayshift.Machines, fn func(r *rig)) {
@@ -96,7 +158,7 @@
 			time.Sleep(time.Minute) // lets the timers of the simulated runners expire
 		}()
 		r := newRig(t, 1, 5)
-		r.advisor, r.machines, r.tickets = a, m, map[carawayshift.TaskName]string{}
+		r.ctx, r.advisor, r.machines, r.tickets = ctx, a, m, map[carawayshift.TaskName]string{}
 		r.elect(ctx)
 		r.sendReports(ctx)
 		time.Sleep(2 * time.Second)
@@ -146,6 +208,74 @@
 	})
 }
 
+// A wave takes down several machines at once, each of which has one task of a step of which
+// only one may be unavailable. The tasks must go down one after the other, also while the
+// platform's list leaves machines out, while its answers are lost, under a new leader, and
+// when there are two waves.
+func TestWavesKeepTasksAvailable(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(m *machines)
+		// trouble is called a second after the first request.
+		trouble func(r *rig, m *machines)
+		waves   [][]string
+	}{
+		{"one wave", nil, nil, [][]string{machineNames}},
+		{"two waves", nil, nil, [][]string{machineNames[:2], machineNames[2:]}},
+		{"machines are not listed", func(m *machines) { m.unlisted = map[string]bool{"m-i-0": true, "m-i-1": true} }, listAll, [][]string{machineNames}},
+		{"answers of the platform are lost", func(m *machines) { m.loseAnswers = 3 }, nil, [][]string{machineNames}},
+		{"requests to the platform are lost", func(m *machines) { m.loseRequests = 3 }, nil, [][]string{machineNames}},
+		{"requests to the platform are late", func(m *machines) { m.lateRequests = 3 }, nil, [][]string{machineNames}},
+		{"a new leader", func(m *machines) { m.loseRequests = 1 }, func(r *rig, _ *machines) { r.elect(r.ctx) }, [][]string{machineNames}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &machines{backAt: map[string]time.Time{}, requests: map[string]int{}}
+			if tt.change != nil {
+				tt.change(m)
+			}
+			playWithServices(t, nil, m, func(r *rig) {
+				o := NewWithT(t)
+				m.rig = r
+				r.takes = func(carawayshift.TaskName) time.Duration { return time.Hour }
+				r.submit("b", carawayshift.Step{Count: 5, MilliCores: 3000, Memory: 100, Declared: time.Hour, LongRunning: true, MaxUnavailable: 1})
+				time.Sleep(8 * time.Second)
+				for i, names := range tt.waves {
+					r.mu.Lock()
+					var a carawayshift.Answer
+					o.Expect(r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
+						Wave: &carawayshift.Wave{ID: i + 1, Machines: names, Due: time.Now().Add(10 * time.Second), Limit: 3},
+					}}, &a)).To(Succeed())
+					r.mu.Unlock()
+				}
+				for tt.trouble != nil && m.requestCount() == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				if tt.trouble != nil {
+					tt.trouble(r, m)
+				}
+				time.Sleep(3 * time.Minute)
+				for _, w := range r.machine.Batches().Waves() {
+					o.Expect(w.Complete()).To(BeTrue(), "wave %d", w.ID)
+				}
+				o.Expect(m.requestCount()).To(BeNumerically(">=", 5))
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				o.Expect(m.violations).To(BeEmpty())
+			})
+		})
+	}
+}
+
+// listAll ends that machines are not listed, after a while.
+func listAll(_ *rig, m *machines) {
+	time.Sleep(20 * time.Second)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unlisted = nil
+}
+
 // A machine that the platform's list leaves out for some time gets its maintenance all the
 // same, within the limit of the wave. One that does not exist is not waited for.
 func TestUnlistedMachinesAreNotDone(t *testing.T) {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -72,6 +72,10 @@
 	begun bool
 	// adopted is true for a run of an earlier term.
 	adopted bool
+	// listed is when the last renewal was sent in whose response the runner listed the
+	// run, atWork whether the run had reported complete progress there.
+	listed time.Time
+	atWork bool
 	// ended is true when the end is queued for its commit.
 	ended     bool
 	stopping  bool
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -30,6 +30,10 @@
 	// Work returns how long a run takes and whether it then fails. With nil, each
 	// run finishes after one second.
 	Work func(task carawayshift.TaskName, run int) (time.Duration, bool)
+	// Lasts reports whether a task is long-running: it reports complete progress once it
+	// has run for Startup. With nil, none is.
+	Lasts   func(task carawayshift.TaskName) bool
+	Startup time.Duration
 	// Gang returns the number of members of a task's gang, 0 for none.
 	Gang func(task carawayshift.TaskName) int
 	// StopDuration is how long a stop takes, GangTimeout how long a member of a
@@ -329,12 +333,22 @@
 	}
 }
 
+// Status returns the runner's status without a call.
+func (a *Agent) Status() carawayshift.AgentStatus {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.status()
+}
+
 func (a *Agent) status() carawayshift.AgentStatus {
 	st := carawayshift.AgentStatus{Clock: time.Since(a.started), Incarnation: a.incarnation}
 	for task, r := range a.runs {
-		percent := 0
-		if r.duration > 0 {
-			percent = min(100, int(100*time.Since(r.started)/r.duration))
+		percent, duration := 0, r.duration
+		if a.cfg.Lasts != nil && a.cfg.Lasts(task) {
+			duration = a.cfg.Startup
+		}
+		if duration > 0 {
+			percent = min(100, int(100*time.Since(r.started)/duration))
 		}
 		st.Running = append(st.Running, carawayshift.RunReport{Task: task, Run: r.number, Percent: percent})
 	}
