assignment: guarantees reclaim what was lent to long-running tasks

Cause: the planner left long-running tasks out of the runs that may be preempted, so that accelerators lent to them were never given back. Ruled out: a wait for room that ends (such a task counts as ending an hour from now, in each plan anew), and a limit of lost work (a guarantee has none).

Change: long-running tasks are preempted for demands within a guarantee, and for nothing else; not while they are within their own team's guarantee, and no more of a step than may be unavailable at once. The latter is checked again when the stop is sent, as machines may have been taken down for maintenance since.

--- a/demand.go
+++ b/demand.go
@@ -58,11 +58,23 @@
 	Obsolete bool
 	// BatchEnded is true when the run's batch has ended in any state.
 	BatchEnded bool
+	// Availability tells whether the task is at work, for steps with MaxUnavailable.
+	Availability Availability
 	// Stopping runs have been requested to stop, or have ended and wait for their
 	// commit.
 	Stopping bool
 }
 
+// Availability tells whether a long-running task is at work.
+type Availability int
+
+// Availabilities. An uncertain task may be at work.
+const (
+	TaskUncertain Availability = iota
+	TaskAvailable
+	TaskUnavailable
+)
+
 // DispatchInput is the input of the dispatcher, with the demands in the order
 // of acceptance.
 type DispatchInput struct {
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -230,9 +230,13 @@
 	t.pruneAdvice(in.Demands)
 	t.d.outliers.Forget(func(b string) bool { return t.d.cfg.Table.Active(b) })
 	adopted = t.adoptOpenRuns(openRuns)
+	requested := t.unfinishedRequests()
 	for i := range openRuns {
 		o := &openRuns[i]
 		o.Expected = t.d.runTimes.Estimate(o.Queue, o.Requirements.Declared)
+		if o.Requirements.MaxUnavailable > 0 {
+			o.Availability = t.availabilityOf(*o, requested[t.machineOf(o.Runner)])
+		}
 		r := t.findRun(*o)
 		o.Stopping = t.stopping[o.Task] == o.Run || r != nil && r.ended
 		stalled := r != nil && r.estimateEnd(o, now)
@@ -440,7 +444,9 @@
 		return
 	}
 	for _, s := range stops {
-		t.stopLocked(s.Task, s.Run, s.Runner, "preempted for "+s.For)
+		if t.mayInterrupt(s) {
+			t.stopLocked(s.Task, s.Run, s.Runner, "preempted for "+s.For)
+		}
 	}
 }
 
--- a/internal/dispatcher/maintenance.go
+++ b/internal/dispatcher/maintenance.go
@@ -227,7 +227,7 @@
 		if _, known := v.MaxUnavailable[step]; !known {
 			v.MaxUnavailable[step], v.Unavailable[step] = o.Requirements.MaxUnavailable, o.Requirements.Count
 		}
-		if state == available {
+		if state == carawayshift.TaskAvailable {
 			v.Unavailable[step]--
 		}
 		switch {
@@ -252,11 +252,11 @@
 }
 
 // countTask adds a task to the count of a machine.
-func countTask(n maintenance.Tasks, state availability) maintenance.Tasks {
+func countTask(n maintenance.Tasks, state carawayshift.Availability) maintenance.Tasks {
 	switch state {
-	case available:
+	case carawayshift.TaskAvailable:
 		n.Available++
-	case uncertain:
+	case carawayshift.TaskUncertain:
 		n.Uncertain++
 	}
 	return n
@@ -275,6 +275,41 @@
 	return machines
 }
 
+// machineOf returns the machine of a runner that has reported, or "". The caller holds
+// t.mu.
+func (t *leaderTerm) machineOf(runner string) string {
+	if s := t.sessions[runner]; s != nil {
+		return s.agent.Machine
+	}
+	return ""
+}
+
+// mayInterrupt reports whether a run may be stopped without making too many tasks of its
+// step unavailable. Machines may have been taken down since the plan was made. The caller
+// holds t.mu.
+func (t *leaderTerm) mayInterrupt(stop carawayshift.DispatchStop) bool {
+	if t.d.cfg.Table.Requirements(stop.Task).MaxUnavailable == 0 {
+		return true
+	}
+	_, openRuns := t.d.cfg.Table.OpenWork()
+	requested := t.unfinishedRequests()
+	left, own := 0, carawayshift.TaskUncertain
+	for _, o := range openRuns {
+		if stepOf(o.Task) != stepOf(stop.Task) {
+			continue
+		}
+		state := t.availabilityOf(o, requested[t.machineOf(o.Runner)])
+		if o.Task == stop.Task {
+			own = state
+			left += o.Requirements.MaxUnavailable - o.Requirements.Count
+		}
+		if state == carawayshift.TaskAvailable && o.Task != stop.Task {
+			left++
+		}
+	}
+	return own == carawayshift.TaskUnavailable || left >= 0
+}
+
 // unfinishedRequests returns, for the machines whose maintenance is not known to be done,
 // the time after which no request is carried out any more. Requests of an earlier leader
 // may be sent up to servicesTimeout after this term has begun. The caller holds t.mu.
@@ -300,31 +335,22 @@
 	return ends
 }
 
-// availability tells whether a long-running task is at work.
-type availability int
-
-const (
-	uncertain availability = iota
-	available
-	unavailable
-)
-
 // availabilityOf returns the availability of an open run, of which only what the runner
 // listed after the time requested counts. A run that is starting may be at work at any
 // moment. The caller holds t.mu.
-func (t *leaderTerm) availabilityOf(o carawayshift.OpenRun, requested time.Time) availability {
+func (t *leaderTerm) availabilityOf(o carawayshift.OpenRun, requested time.Time) carawayshift.Availability {
 	s := t.sessions[o.Runner]
 	if s == nil || s.unanswered || s.exited || s.agent.Leaving || t.stopping[o.Task] == o.Run {
-		return uncertain
+		return carawayshift.TaskUncertain
 	}
 	r := s.find(o.Task, o.Run)
 	switch {
 	case r == nil || r.ended || !r.listed.After(requested):
-		return uncertain
+		return carawayshift.TaskUncertain
 	case r.atWork:
-		return available
+		return carawayshift.TaskAvailable
 	case time.Since(o.Ordered) > t.d.cfg.Timing.ReadyDelay:
-		return unavailable
+		return carawayshift.TaskUnavailable
 	}
-	return uncertain
+	return carawayshift.TaskUncertain
 }
--- a/pkg/assignment/gang.go
+++ b/pkg/assignment/gang.go
@@ -294,18 +294,19 @@
 		lost += best.lost
 		list = append(list, best.preemption)
 		delete(options, best.runner)
-		affectedRunners := map[string]bool{}
+		affectedRunners, limited := map[string]bool{}, false
 		for _, v := range best.victims {
 			if chosen[v] {
 				continue
 			}
 			chosen[v] = true
+			limited = limited || v.limit != nil
 			for _, h := range v.runs {
 				affectedRunners[h.Runner] = true
 			}
 		}
 		for _, r := range runners {
-			if options[r] != nil && affectedRunners[r.agent.ID] {
+			if options[r] != nil && (limited || affectedRunners[r.agent.ID]) {
 				options[r] = r.preemptionOptions(d, left, by, forced, chosen)
 			}
 		}
--- a/pkg/assignment/pass.go
+++ b/pkg/assignment/pass.go
@@ -21,6 +21,8 @@
 	// highestPriority is the most urgent priority of all runs and demands. 0 is
 	// the most urgent one.
 	highestPriority int
+	// limits holds how many more tasks may become unavailable, by step.
+	limits map[stepKey]*stepLimit
 	// candidateSets holds the eligible runners of demands without tickets.
 	candidateSets map[candidateKey]*candidates
 	// emptyRunners is the number of runners on which nothing runs.
@@ -32,12 +34,17 @@
 	out          carawayshift.Dispatch
 }
 
-// gangKey identifies the gang of an open run.
-type gangKey struct {
+// stepKey identifies a step of an occurrence of a batch.
+type stepKey struct {
 	batch            string
 	occurrence, step int
 }
 
+func stepOf(k carawayshift.TaskName) stepKey { return stepKey{k.Batch, k.Occurrence, k.Step} }
+
+// stepLimit is how many more tasks of a step may become unavailable.
+type stepLimit struct{ left int }
+
 const (
 	// restartCost is the run time that is lost when a run with checkpoints is
 	// stopped and resumed.
@@ -64,6 +71,7 @@
 	p := &pass{
 		cfg: cfg, input: l, urgentAccelerators: map[string]int{}, highestPriority: highestPriority(l),
 		candidateSets: map[candidateKey]*candidates{}, idleServices: map[string]bool{}, hasRuns: map[string]bool{},
+		limits: stepLimits(l.OpenRuns),
 	}
 	// Runs are matched to runners by id only, not by incarnation: the request for
 	// a run can reach a later incarnation of the runner.
@@ -91,7 +99,7 @@
 		p.runners = append(p.runners, r)
 	}
 	p.sumUrgentAccelerators()
-	gangs := map[gangKey]*victim{}
+	gangs := map[stepKey]*victim{}
 	for _, h := range l.OpenRuns {
 		p.hasRuns[h.Task.Batch] = true
 		if r := p.byID[h.Runner]; r != nil {
@@ -116,6 +124,24 @@
 	return most
 }
 
+// stepLimits returns the limits of the steps with MaxUnavailable.
+func stepLimits(runs []carawayshift.OpenRun) map[stepKey]*stepLimit {
+	limits := map[stepKey]*stepLimit{}
+	for _, h := range runs {
+		if h.Requirements.MaxUnavailable == 0 || h.BatchEnded {
+			continue
+		}
+		k := stepOf(h.Task)
+		if limits[k] == nil {
+			limits[k] = &stepLimit{h.Requirements.MaxUnavailable - h.Requirements.Count}
+		}
+		if h.Availability == carawayshift.TaskAvailable {
+			limits[k].left++
+		}
+	}
+	return limits
+}
+
 func (p *pass) sumUrgentAccelerators() {
 	for _, h := range p.input.OpenRuns {
 		if h.Priority == 0 && !h.BatchEnded {
@@ -137,7 +163,7 @@
 
 // addOpenRun allocates the resources of an open run, and records when it is expected
 // to end and whether it may be preempted.
-func (p *pass) addOpenRun(r *runnerState, h carawayshift.OpenRun, gangs map[gangKey]*victim) {
+func (p *pass) addOpenRun(r *runnerState, h carawayshift.OpenRun, gangs map[stepKey]*victim) {
 	n := resourcesOf(h.Requirements)
 	r.allocate(n)
 	stopping := h.Stopping || h.Obsolete
@@ -145,15 +171,15 @@
 		r.longRunning = r.longRunning.plus(n)
 	}
 	r.releases = append(r.releases, release{p.expectedEnd(h, stopping), n, stopping})
-	if stopping || h.Requirements.LongRunning {
+	if stopping {
 		return
 	}
 	if h.Priority == 0 && p.urgentAccelerators[h.Team] <= p.input.Guarantees[h.Team] {
 		return
 	}
-	v := &victim{urgent: h.Priority == 0}
+	v := &victim{forcedOnly: h.Priority == 0 || h.Requirements.LongRunning}
 	if h.Requirements.Gang {
-		k := gangKey{h.Task.Batch, h.Task.Occurrence, h.Task.Step}
+		k := stepOf(h.Task)
 		if gangs[k] == nil {
 			gangs[k] = v
 		}
@@ -161,6 +187,12 @@
 	}
 	v.runs = append(v.runs, h)
 	v.lostWork += p.lostWork(h)
+	if h.Availability != carawayshift.TaskUnavailable {
+		v.limit = p.limits[stepOf(h.Task)]
+	}
+	if h.Availability == carawayshift.TaskAvailable {
+		v.limitCost++
+	}
 	if !slices.Contains(r.victims, v) {
 		r.victims = append(r.victims, v)
 	}
@@ -349,13 +381,13 @@
 }
 
 // waitsForData reports whether waiting for a runner on the data's rack still costs
-// less time than running elsewhere.
+// less time than running elsewhere, and no guarantee is due.
 func (p *pass) waitsForData(d *carawayshift.Demand) bool {
 	near := slices.ContainsFunc(p.candidates(d).byRackName[d.Requirements.DataRack], func(r *runnerState) bool {
 		return r.total.covers(resourcesOf(d.Requirements))
 	})
 	limit := time.Duration((p.cfg.RemoteSlowdown - 1) * float64(d.Expected))
-	return near && p.input.Now.Sub(d.Accepted) < limit
+	return near && !p.guaranteeDue(d) && p.input.Now.Sub(d.Accepted) < limit
 }
 
 // atRunnerLimit reports whether a runner has the step's maximum number of tasks for
@@ -411,6 +443,9 @@
 // stop preempts a run and the other members of its gang.
 func (p *pass) stop(v *victim, d *carawayshift.Demand) {
 	v.preempted = true
+	if v.limit != nil {
+		v.limit.left -= v.limitCost
+	}
 	by := p.input.Now.Add(p.cfg.MaxStopTime)
 	for _, h := range v.runs {
 		p.out.Stops = append(p.out.Stops, carawayshift.DispatchStop{Task: h.Task, Run: h.Run, Runner: h.Runner, For: d.Batch})
--- a/pkg/assignment/runner.go
+++ b/pkg/assignment/runner.go
@@ -80,8 +80,13 @@
 	runs []carawayshift.OpenRun
 	// lostWork is the work in core-seconds that preemption discards.
 	lostWork float64
-	// urgent runs have priority 0 and are preempted only for guarantees.
-	urgent bool
+	// forcedOnly runs have priority 0 or are long-running, and are preempted only for
+	// guarantees.
+	forcedOnly bool
+	// limit is the limit of the step; nil if there is none or the task does not work.
+	// limitCost is how many more tasks preemption makes unavailable.
+	limit     *stepLimit
+	limitCost int
 	// preempted is true once this pass has preempted the runs.
 	preempted bool
 }
@@ -177,9 +182,14 @@
 // selectVictims returns the victims to preempt so that need fits, those with the
 // least lost work first. If forced, it does not rely on the expected ends of other
 // runs, because a run may exceed its estimate repeatedly. The resources of chosen
-// victims count as free already, because those are preempted in any case.
+// victims count as free already, because those are preempted in any case. No more tasks
+// of a step become unavailable than its limit allows.
 func (r *runnerState) selectVictims(need resources, by time.Time, forced bool, chosen map[*victim]bool) (list []*victim, lost float64, ok bool) {
 	have := r.free.plus(r.freedBy(by, forced))
+	used := map[*stepLimit]int{}
+	for v := range chosen {
+		used[v.limit] += v.limitCost
+	}
 	for _, v := range r.victims {
 		if chosen[v] {
 			have = have.plus(r.victimResources(v))
@@ -189,9 +199,13 @@
 		if have.covers(need) {
 			break
 		}
-		if v.preempted || chosen[v] || v.urgent && !forced {
+		if v.preempted || chosen[v] || v.forcedOnly && !forced {
+			continue
+		}
+		if v.limit != nil && used[v.limit]+v.limitCost > v.limit.left {
 			continue
 		}
+		used[v.limit] += v.limitCost
 		have = have.plus(r.victimResources(v))
 		list = append(list, v)
 	}
