dispatcher: calls for a runner's earlier life don't take effect on the next

The simulated network of TestHistories lost calls that came late to a runner that had restarted, and let no renewal be late or lose its answer.

Cause: a runner that is back under its id executes what was meant for its earlier life, as the header that names the instance is the same. Renewals carried the number of the last committed end each time; the first one after a cut made the new life forget ends of its own that nobody had seen, so that the finished run was missing and recorded as lost. Late starts and renewals of the same term passed the fence, which was the term. Ruled out: a wrong end of an answer of the earlier life (answers are checked by "born").

Change: ends are acknowledged once, right after the runner has answered. The fencing token is the term and a count; it is raised for each session and after each call without an answer, and a refusal by it is no newer leader if it was just raised. A session of a restarted runner calls it at once. The clock in answers to starts and stops shows a restart. Runs are adopted by the new life if it lists them, instead of being stopped there.

Not prevented: a start that was sent before the restart and is executed before any call has reached the new life. The rig loses such calls.

Three tests in incarnation_test.go failed before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -119,6 +119,9 @@
 	wake chan struct{}
 	// changed is true if the next plan must not wait although no task waits.
 	changed atomic.Bool
+	// fences counts the fencing tokens. It is kept across terms: after a panic,
+	// dispatching starts anew in the same term.
+	fences atomic.Uint64
 	// runTimes is kept across terms: run times depend on the work, not on which
 	// host leads.
 	runTimes *estimate.Estimator
--- /dev/null
+++ b/internal/dispatcher/incarnation_test.go
@@ -0,0 +1,81 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"carawayshift.example/carawayshift"
+)
+
+// A runner starts again under its id. It executes a start that was meant for its earlier
+// incarnation, and is cut off before the leader learns of that. The ends that the leader
+// has committed were those of the earlier incarnation: acknowledging them again would make
+// the new one forget the end of its run, and the finished task would run once more.
+func TestEndsOfNewIncarnationAreNotAcknowledgedUnseen(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 2 * time.Second }
+		time.Sleep(2 * time.Second)
+		r.submit("a", single(3))
+		time.Sleep(4 * time.Second)
+		o.Expect(r.state("a")).To(Equal(carawayshift.BatchFinished))
+		r.setMute("i-0")
+		r.agents["i-0"].Crash()
+		r.mu.Lock()
+		r.net.startFates = []fate{answerLost}
+		r.mu.Unlock()
+		r.submit("b", single(1))
+		time.Sleep(100 * time.Millisecond)
+		r.net.setCut("i-0", true)
+		time.Sleep(4 * time.Second)
+		r.net.setCut("i-0", false)
+		time.Sleep(5 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+		o.Expect(r.starts[carawayshift.TaskName{Batch: "b"}]).To(Equal(1))
+	})
+}
+
+// The first start request of a task gets no answer and is executed seconds later; by then
+// the second one has run to its end, and the runner has started again under its id.
+func TestNewIncarnationRefusesEarlierStarts(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Second }
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		r.net.startFates = []fate{late}
+		r.mu.Unlock()
+		r.submit("b", single(1))
+		time.Sleep(lateBy - 500*time.Millisecond)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+		r.agents["i-0"].Crash()
+		reborn := r.agents["i-0"].Report()
+		reborn.Sequence = 1
+		o.Expect(r.leader().Report(reborn)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		o.Expect(r.starts[carawayshift.TaskName{Batch: "b"}]).To(Equal(1))
+	})
+}
+
+// The clock in the answer to a start shows that another incarnation has executed it. Its
+// status is requested at once, although its reports are lost.
+func TestClockShowsThatRunnerHasRestarted(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Second }
+		time.Sleep(2 * time.Second)
+		r.setMute("i-0")
+		r.agents["i-0"].Crash()
+		r.net.setRenewDelay("i-0", 100*time.Millisecond)
+		r.submit("b", single(1))
+		time.Sleep(200 * time.Millisecond)
+		term := r.leader().current()
+		term.mu.Lock()
+		incarnation := term.sessions["i-0"].agent.Incarnation
+		term.mu.Unlock()
+		o.Expect(incarnation).To(Equal(int64(2)))
+	})
+}
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
@@ -74,7 +75,7 @@
 }
 
 // nextRenewal reports whether a renewal is due: to extend the leases of confirmed
-// runs, to notice that the runner of a run being stopped is gone, to acknowledge
+// runs, to make a restarted runner refuse earlier calls, to notice that the runner of a run being stopped is gone, to acknowledge
 // committed ends, because the runner did not respond, or to learn whether it has the
 // adopted runs. wait is how long the runner may delay
 // its response until a run ends. A renewal that is due counts as in flight from here
@@ -90,7 +91,7 @@
 	if busy && !undecided {
 		wait = renewWait
 	}
-	s.renewing = busy || undecided || s.committed > s.acknowledged || s.unanswered
+	s.renewing = busy || undecided || s.committed > s.acknowledged || s.unanswered || !s.contacted
 	return s.renewing, wait
 }
 
@@ -100,9 +101,14 @@
 	return r.adopted && r.confirmed.IsZero() && !r.ended && !r.stopping
 }
 
+// renew renews the leases and acknowledges the committed ends. If another incarnation
+// answers, it replaces the session and returns an error.
 func (s *session) renew(wait time.Duration) (carawayshift.AgentStatus, error) {
 	s.t.mu.Lock()
-	call, committed, until := s.call(), s.committed, s.extendLease()
+	call, seen, until := s.call(), s.endsToAcknowledge(), s.extendLease()
+	if s.committed > max(s.acknowledged, seen) || !s.contacted {
+		wait = 0
+	}
 	if s.needsThrottle() {
 		wait = min(wait, throttleInterval)
 	}
@@ -118,18 +124,33 @@
 	s.t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
-	st, err := s.t.client.Renew(ctx, call, committed, until, wait)
+	st, err := s.t.client.Renew(ctx, call, seen, until, wait)
 	if err != nil {
 		return st, err
 	}
+	if st.Incarnation != 0 && call.Agent.Incarnation != 0 && st.Incarnation != call.Agent.Incarnation {
+		s.replaceIncarnation(st)
+		return st, errors.Newf("session.renew: the runner has restarted, life %d", st.Incarnation)
+	}
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	s.acknowledged = max(s.acknowledged, committed)
-	s.unanswered, s.unconfirmed = false, false
+	s.acknowledged = max(s.acknowledged, seen)
+	s.unanswered, s.unconfirmed, s.contacted, s.answered = false, false, true, time.Now()
 	s.updateClock(st.Clock)
 	return st, nil
 }
 
+// endsToAcknowledge returns the number up to which ends are acknowledged in the next
+// renewal, 0 for none. An incarnation that has started since would forget ends of its own
+// that nobody has seen. So only ends that were not acknowledged before are, and only to a
+// runner that has just answered. The caller holds s.t.mu.
+func (s *session) endsToAcknowledge() uint64 {
+	if s.committed <= s.acknowledged || s.unanswered || s.unconfirmed || time.Since(s.answered) > callTimeout {
+		return 0
+	}
+	return s.committed
+}
+
 // renewFailed handles a renewal without a response. Once the leases have
 // certainly expired, the runs are recorded as lost; the renewals continue until
 // the runner responds.
@@ -139,8 +160,12 @@
 	}
 	s.t.mu.Lock()
 	first := !s.unanswered
+	var refusal *carawayshift.RefusalError
+	if first && !errors.As(err, &refusal) {
+		s.raiseFence()
+	}
 	s.unanswered = true
-	lapsed := len(s.runs) > 0 && s.minClock(time.Now()) > s.leaseEnd+s.t.d.cfg.Timing.Stop
+	lapsed := len(s.runs) > 0 && s.minClock(time.Now()) > s.leaseEnd+s.t.d.cfg.Timing.Stop+s.lateStartTime()
 	runs := len(s.runs)
 	if lapsed {
 		s.recordAllLost()
@@ -157,15 +182,23 @@
 	pause.For(s.ctx, wait)
 }
 
+// lateStartTime returns how much later a lease may begin since the runner has restarted:
+// on its new clock, a start that was requested before and got no answer is not too late
+// to be executed. The caller holds s.t.mu.
+func (s *session) lateStartTime() time.Duration {
+	for _, r := range s.runs {
+		if r.carried && r.unanswered {
+			return lateCallLimit
+		}
+	}
+	return 0
+}
+
 // handleStatus processes a runner's status: new ends are committed, runs that
 // it does not list are recorded as lost, and runs that it should not have are
 // stopped. The channel is closed when the new ends are committed; it is nil if there
 // are none.
 func (s *session) handleStatus(st carawayshift.AgentStatus, sent time.Time) <-chan struct{} {
-	if st.Incarnation != 0 && s.agent.Incarnation != 0 && st.Incarnation != s.agent.Incarnation {
-		s.replaceIncarnation(st.Incarnation)
-		return nil
-	}
 	committed := s.enqueueNewEnds(st.Ended)
 	s.reconcile(st, sent)
 	return committed
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -500,16 +500,7 @@
 	n.rig.mu.Unlock()
 	switch x := n.rig.random(); {
 	case x < late:
-		// The runner executes the call late, and not at all if it has restarted
-		// since.
-		wait := time.Duration(2000+n.rig.random()*8000) * time.Millisecond
-		a := n.rig.at(id)
-		incarnation := a.Report().Incarnation
-		time.AfterFunc(wait, func() {
-			if a.Report().Incarnation == incarnation {
-				_ = call()
-			}
-		})
+		n.executeLate(id, func() { _ = call() })
 		<-ctx.Done()
 		return errNoAnswer
 	case x < late+lose:
@@ -587,6 +578,17 @@
 	if err := n.refused(o.Agent.Address); err != nil {
 		return st, err
 	}
+	execute := func() { _, _ = n.rig.at(o.Agent.Address).Renew(context.Background(), o, seen, until, 0) }
+	switch n.nextRenewFate() {
+	case late:
+		n.executeLate(o.Agent.Address, execute)
+		<-ctx.Done()
+		return st, errNoAnswer
+	case answerLost:
+		execute()
+		<-ctx.Done()
+		return st, errNoAnswer
+	}
 	st, err = n.rig.at(o.Agent.Address).Renew(ctx, o, seen, until, wait)
 	pause.For(ctx, n.renewDelayOf(o.Agent.Address))
 	if ctx.Err() != nil {
@@ -595,6 +597,33 @@
 	return st, err
 }
 
+// nextRenewFate returns what happens to the next lease renewal.
+func (n *network) nextRenewFate() fate {
+	x := n.rig.random()
+	n.rig.mu.Lock()
+	defer n.rig.mu.Unlock()
+	switch {
+	case x < n.lateShare:
+		return late
+	case x < n.lateShare+n.loseShare:
+		return answerLost
+	}
+	return delivered
+}
+
+// executeLate lets a runner execute a call seconds later, also if it has restarted and has
+// been called since. A call that comes before any other call to the new incarnation is
+// lost: no leader could keep the runner from executing it.
+func (n *network) executeLate(id string, call func()) {
+	a := n.rig.at(id)
+	incarnation := a.Report().Incarnation
+	time.AfterFunc(time.Duration(2000+n.rig.random()*8000)*time.Millisecond, func() {
+		if a.Report().Incarnation == incarnation || a.Called() {
+			call()
+		}
+	})
+}
+
 func (n *network) setRenewDelay(id string, d time.Duration) {
 	n.rig.mu.Lock()
 	defer n.rig.mu.Unlock()
--- a/internal/dispatcher/runners.go
+++ b/internal/dispatcher/runners.go
@@ -64,10 +64,11 @@
 		return
 	}
 	t.verifying[a.ID] = true
+	fence := t.verificationFence(a)
 	t.spawn(func() {
 		ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
 		defer cancel()
-		st, err := t.client.Renew(ctx, carawayshift.AgentCall{Agent: a, Fence: t.term}, 0, 0, 0)
+		st, err := t.client.Renew(ctx, carawayshift.AgentCall{Agent: a, Fence: fence}, 0, 0, 0)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		delete(t.verifying, a.ID)
@@ -81,6 +82,19 @@
 	})
 }
 
+// verificationFence returns the fencing token of a request that verifies a report: one that
+// a known runner accepts, and that makes it refuse no call of its session. The caller holds
+// t.mu.
+func (t *leaderTerm) verificationFence(a carawayshift.Agent) uint64 {
+	fence := t.term << fenceBits
+	for _, s := range []*session{t.sessions[a.ID], t.addresses[a.Address]} {
+		if s != nil {
+			fence = max(fence, s.fence)
+		}
+	}
+	return fence
+}
+
 // admit stores what a runner has reported. It closes the session of another runner at
 // its address. The caller holds t.mu.
 func (t *leaderTerm) admit(a carawayshift.Agent, received time.Time) {
@@ -140,20 +154,28 @@
 
 // replaceSession replaces the session of a runner that restarted with the same
 // ID. A start request for the previous incarnation may have reached the new
-// one, or may still do so. The open runs are therefore stopped on the new
-// incarnation before they are recorded as lost. The caller holds t.mu.
+// one, or may still do so. The open runs are therefore adopted: the status of the new
+// incarnation decides which go on there, and the others are stopped before they are
+// recorded as lost. The caller holds t.mu.
 func (t *leaderTerm) replaceSession(old *session, a carawayshift.Agent, received time.Time) {
 	old.log.WithFields(logrus.Fields{"event": "runner reborn", "life": a.Incarnation, "runs": len(old.runs)}).Info("runner restarted")
 	old.cancel()
 	t.removeSession(old)
 	s := newSession(t, a, received)
+	s.contacted = false
+	s.signal()
 	t.sessions[a.ID] = s
 	for task, r := range old.runs {
 		if r.ended {
 			continue
 		}
-		s.runs[task] = &run{number: r.number, checkpoint: r.checkpoint, requirements: r.requirements, resumed: true}
-		s.stop(task, r.number)
+		s.runs[task] = &run{
+			number: r.number, checkpoint: r.checkpoint, requested: r.requested, resumed: true, requirements: r.requirements,
+			percent: unknownSpeed, adopted: true, carried: true, unanswered: r.unanswered || r.adopted,
+		}
+		if r.stopping {
+			s.stop(task, r.number)
+		}
 	}
 }
 
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -47,6 +47,14 @@
 	// unconfirmed is true when a call got no response and no renewal has
 	// succeeded since.
 	unconfirmed bool
+	// contacted is false until the runner has answered a renewal, for a session that has
+	// replaced that of an earlier incarnation.
+	contacted bool
+	// answered is when the runner last answered a renewal.
+	answered time.Time
+	// fence is the fencing token of the session's calls, raised when it was last raised.
+	fence  uint64
+	raised time.Time
 	// renewing is true while a renewal is in flight, exited once the runner has
 	// deregistered.
 	renewing, exited bool
@@ -80,6 +88,9 @@
 	ended     bool
 	stopping  bool
 	requested time.Time
+	// unanswered is true when a start request got no answer, so that it may still be
+	// executed; carried is true for a run of an earlier incarnation of the runner.
+	unanswered, carried bool
 	// resumed is true for a run that started from a checkpoint.
 	resumed      bool
 	requirements carawayshift.Step
@@ -96,7 +107,7 @@
 func newSession(t *leaderTerm, a carawayshift.Agent, received time.Time) *session {
 	s := &session{
 		t: t, agent: a, runs: map[carawayshift.TaskName]*run{}, wake: make(chan struct{}, 1),
-		log: t.log.WithField("runner", a.ID),
+		log: t.log.WithField("runner", a.ID), fence: t.nextFence(), contacted: true,
 	}
 	s.ctx, s.cancel = context.WithCancel(t.ctx)
 	s.update(a, received)
@@ -104,17 +115,34 @@
 	return s
 }
 
+// fenceBits is the number of bits of a fencing token below the term.
+const fenceBits = 32
+
+// nextFence returns a fencing token that is higher than all others of the term and lower
+// than those of the next one.
+func (t *leaderTerm) nextFence() uint64 {
+	return t.term<<fenceBits + min(t.d.fences.Add(1), 1<<fenceBits-1)
+}
+
+// raiseFence makes the runner refuse the calls that were sent before, once it has executed
+// a later one. A call without an answer could otherwise be executed at any time, also by
+// a later incarnation of the runner, which the id in a call does not tell apart. The
+// caller holds s.t.mu.
+func (s *session) raiseFence() {
+	s.fence, s.raised = s.t.nextFence(), time.Now()
+}
+
 // replaceIncarnation replaces the session by one for the incarnation that
 // answered a renewal. Its resources are not known before its first report, so
 // it gets no work until then.
-func (s *session) replaceIncarnation(incarnation int64) {
+func (s *session) replaceIncarnation(st carawayshift.AgentStatus) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	if s.t.sessions[s.agent.ID] != s {
 		return
 	}
 	a := s.agent
-	a.Incarnation, a.Sequence, a.Clock = incarnation, 0, 0
+	a.Incarnation, a.Sequence, a.Clock = st.Incarnation, 0, st.Clock
 	s.t.replaceSession(s, a, time.Time{})
 }
 
@@ -176,6 +204,13 @@
 	return until
 }
 
+// answeredByOther reports whether the clock in a response to a call that was sent at a
+// time suggests that an incarnation that has started since answered it. The caller holds
+// s.t.mu.
+func (s *session) answeredByOther(clock time.Duration, sent time.Time) bool {
+	return !s.clockAt.IsZero() && clock < s.minClock(sent)
+}
+
 // reachable reports whether the runner may get new work, unless it is ejected for
 // failures of tasks. The caller holds s.t.mu.
 func (s *session) reachable(now time.Time) bool {
@@ -257,10 +292,13 @@
 // repeated is true if an earlier leader may have sent such requests.
 func (s *session) sendStart(st carawayshift.RunStart, repeated bool) {
 	for attempt := range maxStartAttempts {
+		sent := time.Now()
 		clock, err := s.callStart(st)
 		switch {
 		case err == nil:
-			s.startConfirmed(st, clock)
+			if !s.isReplaced(clock, sent) {
+				s.startConfirmed(st, clock)
+			}
 			return
 		case s.ctx.Err() != nil:
 			return
@@ -274,6 +312,7 @@
 			s.startRefused(st, refusal.Reason, repeated || attempt > 0)
 			return
 		}
+		s.markUnanswered(st.Task, st.Run)
 		if s.isStopping(st.Task, st.Run) {
 			break
 		}
@@ -290,6 +329,28 @@
 	s.sendStop(st.Task, st.Run)
 }
 
+// isReplaced reports whether the session has been replaced because a later incarnation has
+// answered a call. If the clock in the response suggests that, it asks for the status.
+func (s *session) isReplaced(clock time.Duration, sent time.Time) bool {
+	s.t.mu.Lock()
+	other := s.answeredByOther(clock, sent)
+	s.t.mu.Unlock()
+	if other {
+		_, _ = s.checkStatus()
+	}
+	return s.ctx.Err() != nil
+}
+
+// markUnanswered records that a start request of a run got no answer.
+func (s *session) markUnanswered(task carawayshift.TaskName, n int) {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.raiseFence()
+	if r := s.find(task, n); r != nil {
+		r.unanswered = true
+	}
+}
+
 // checkStatus requests the status of a runner that did not respond to a call.
 // The runner gets no new work until it responds.
 func (s *session) checkStatus() (carawayshift.AgentStatus, error) {
@@ -322,7 +383,7 @@
 // call returns the common part of a call to the runner. The caller holds
 // s.t.mu.
 func (s *session) call() carawayshift.AgentCall {
-	return carawayshift.AgentCall{Agent: s.agent, Fence: s.t.term}
+	return carawayshift.AgentCall{Agent: s.agent, Fence: s.fence}
 }
 
 func (s *session) startConfirmed(st carawayshift.RunStart, clock time.Duration) {
@@ -421,8 +482,12 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+		sent := time.Now()
 		clock, err := s.t.client.Stop(ctx, call, task, n)
 		cancel()
+		if err == nil && s.isReplaced(clock, sent) {
+			return
+		}
 		if err == nil {
 			s.t.mu.Lock()
 			s.updateClock(clock)
@@ -439,7 +504,8 @@
 }
 
 // handleCallError handles the refusals that end the session or the term, and
-// reports whether either is over. A refused connection does not prove
+// reports whether either is over. A call that was sent before the fencing token was raised
+// is refused without a newer leader. A refused connection does not prove
 // that the runner has exited: the network may have reset the connection while
 // the runner still works.
 func (s *session) handleCallError(err error) bool {
@@ -447,6 +513,8 @@
 	switch {
 	case s.ctx.Err() != nil:
 		return true
+	case errors.As(err, &refusal) && refusal.Reason == carawayshift.RefusedFence && s.wasRaised():
+		return false
 	case errors.As(err, &refusal) && refusal.Reason == carawayshift.RefusedFence:
 		s.log.Warn("runner refused the fencing token: a newer leader has called it")
 		s.t.resign()
@@ -457,3 +525,11 @@
 	}
 	return false
 }
+
+// wasRaised reports whether a call that has just been refused may have been sent before the
+// fencing token was raised.
+func (s *session) wasRaised() bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	return !s.raised.IsZero() && time.Since(s.raised) < renewWait+2*callTimeout
+}
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -333,6 +333,13 @@
 	}
 }
 
+// Called reports whether the incarnation has executed a call.
+func (a *Agent) Called() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fence > 0
+}
+
 // Status returns the runner's status without a call.
 func (a *Agent) Status() carawayshift.AgentStatus {
 	a.mu.Lock()
