dispatcher: a run that was given up is not adopted

What was seen: in TestHistories, run 2 of a task started while run 1 was active, in 4 of 160 runs of the package's tests.

Cause: a new leader queues the end of a run whose runner has not reported until its lease must have expired, and commits it some milliseconds later. If the runner's first report came in between, the run was adopted and its start was sent again, while the committed end let the task start elsewhere. The log has both within 10 ms. Ruled out: the new fencing tokens, as both orders are of one term and the code found has the same lines.

TestRunThatIsGivenUpIsNotAdopted failed before. Afterwards 180 runs of the package's tests passed, six at a time.

--- a/internal/dispatcher/adopt_test.go
+++ b/internal/dispatcher/adopt_test.go
@@ -76,3 +76,37 @@
 		o.Expect(r.outcomes(open[0].Task)).To(Equal([]carawayshift.RunOutcome{carawayshift.RunStopped}))
 	})
 }
+
+// A new leader gives up a run whose runner has not reported until its lease has expired.
+// The runner reports before that is committed: the run must not be adopted and sent to it
+// again, since its task starts elsewhere.
+func TestRunThatIsGivenUpIsNotAdopted(t *testing.T) {
+	play(t, 1, 1, func(ctx context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 2 * time.Second }
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		r.net.startFates = []fate{lost}
+		r.mu.Unlock()
+		r.submit("b", single(1))
+		time.Sleep(100 * time.Millisecond)
+		r.setMute("i-0")
+		r.elect(ctx)
+		time.Sleep(10 * time.Millisecond)
+
+		term := r.leader().current()
+		_, open := r.machine.Batches().OpenWork()
+		o.Expect(open).To(HaveLen(1))
+		term.mu.Lock()
+		term.started = time.Now().Add(-term.leaseExpiry() - time.Second)
+		term.adoptOpenRuns(open)
+		s := newSession(term, r.agents["i-0"].Report(), time.Now())
+		term.sessions["i-0"] = s
+		term.adoptOpenRuns(open)
+		adopted := s.find(open[0].Task, open[0].Run)
+		term.mu.Unlock()
+		o.Expect(adopted).To(BeNil())
+		time.Sleep(10 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -356,6 +356,7 @@
 			continue
 		}
 		if time.Since(t.started) > t.leaseExpiry() {
+			t.requested[o.Task] = o.Run // it is not adopted any more
 			t.enqueueEnd(carawayshift.RunEnd{Task: o.Task, Run: o.Run, Outcome: carawayshift.RunLost, Checkpoint: o.Checkpoint}, nil)
 		}
 	}
