dispatcher: test that preemption heeds maintenance

mayInterrupt came with the reclaim of long-running tasks without a test of its own: a plan is made before the lock is taken under which its stops are sent, and a machine may be taken down in between. TestPreemptionHeedsMaintenance fails if mayInterrupt always allows the stop. No change of the product.

--- a/internal/dispatcher/services_test.go
+++ b/internal/dispatcher/services_test.go
@@ -268,6 +268,33 @@
 	}
 }
 
+// A plan preempts a long-running task while a machine with another task of its step is
+// taken down: the stop must not be sent as well.
+func TestPreemptionHeedsMaintenance(t *testing.T) {
+	playWithServices(t, nil, &machines{}, func(r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Hour }
+		r.submit("b", carawayshift.Step{Count: 2, MilliCores: 3000, Memory: 100, Declared: time.Hour, LongRunning: true, MaxUnavailable: 1})
+		time.Sleep(8 * time.Second)
+		_, open := r.machine.Batches().OpenWork()
+		o.Expect(open).To(HaveLen(2))
+		first := "m-" + open[0].Runner
+		r.mu.Lock()
+		var a carawayshift.Answer
+		o.Expect(r.applyLocked(carawayshift.Command{Kind: carawayshift.ChangeBatches, At: time.Now(), Batches: &carawayshift.BatchChange{
+			Wave: &carawayshift.Wave{ID: 1, Machines: []string{first}, Due: time.Now().Add(time.Hour), Limit: 1},
+		}}, &a)).To(Succeed())
+		r.mu.Unlock()
+		term := r.leader().current()
+		term.mu.Lock()
+		defer term.mu.Unlock()
+		stop := carawayshift.DispatchStop{Task: open[1].Task, Run: open[1].Run, Runner: open[1].Runner}
+		o.Expect(term.mayInterrupt(stop)).To(BeTrue())
+		term.maintenanceRequested[waveMachine{1, first}] = time.Now().Add(requestPending)
+		o.Expect(term.mayInterrupt(stop)).To(BeFalse())
+	})
+}
+
 // listAll ends that machines are not listed, after a while.
 func listAll(_ *rig, m *machines) {
 	time.Sleep(20 * time.Second)
