assignment: long-running tasks are not expected to end

Cause: a long-running task counted as ending an hour from the plan, in each plan anew, so that the gang was expected to fit then and idle runners were reserved for it; only tasks that end within that hour could use them. The same holds for a single task that needs more of a runner than a long-running one leaves. Ruled out: the rule that background batches avoid empty runners (it has an end of 2 s in a service that is mostly idle).

Change: a long-running task has no expected end until it is stopped.

Two cases of TestDispatch failed before.

Tried and not kept: batches without runs that pass over reservations after 2 s in a mostly idle service, for gangs that wait for runs that do end.

--- a/pkg/assignment/dispatcher_test.go
+++ b/pkg/assignment/dispatcher_test.go
@@ -295,6 +295,22 @@
 				OpenRuns: []carawayshift.OpenRun{openRun("urgent", "i1", 0, 8, time.Second)}, Demands: []carawayshift.Demand{d},
 			}
 		}, []string{"b@i2"}, nil},
+		{"a gang that waits for a long-running task keeps no runner from others", func() carawayshift.DispatchInput {
+			in := lent(1, 1, 0, carawayshift.TaskAvailable)
+			in.Agents = append(in.Agents, runner("i2", "r1"))
+			gang, long := demand("gang", 1, 2, 8), demand("long", 2, 1, 8)
+			gang.Requirements.Gang, long.Expected, long.Due = true, 2*time.Hour, noon.Add(6*time.Hour)
+			in.Demands = []carawayshift.Demand{gang, long}
+			return in
+		}, []string{"long@i2"}, nil},
+		{"nor does a task that needs what a long-running one uses", func() carawayshift.DispatchInput {
+			in := lent(1, 1, 0, carawayshift.TaskAvailable)
+			in.OpenRuns[0].Requirements.Accelerators = 4
+			wide, long := demand("wide", 1, 1, 8), demand("long", 2, 1, 4)
+			long.Expected, long.Due = 2*time.Hour, noon.Add(6*time.Hour)
+			in.Demands = []carawayshift.Demand{wide, long}
+			return in
+		}, []string{"long@i1"}, nil},
 		{"a guarantee preempts a long-running task of another team", func() carawayshift.DispatchInput {
 			return lent(1, 1, 0, carawayshift.TaskAvailable)
 		}, nil, []string{"serving@i1"}},
--- a/pkg/assignment/pass.go
+++ b/pkg/assignment/pass.go
@@ -52,8 +52,6 @@
 	// overdueShare is the remaining time of a run that has exceeded its expected
 	// run time, as a share of the expected run time.
 	overdueShare = 0.3
-	// longRunningTime is the remaining time that is assumed for long-running tasks.
-	longRunningTime = time.Hour
 	// backgroundPriority is the most urgent priority whose tasks avoid empty
 	// runners.
 	backgroundPriority = 2
@@ -170,7 +168,9 @@
 	if h.Requirements.LongRunning && !stopping {
 		r.longRunning = r.longRunning.plus(n)
 	}
-	r.releases = append(r.releases, release{p.expectedEnd(h, stopping), n, stopping})
+	if stopping || !h.Requirements.LongRunning {
+		r.releases = append(r.releases, release{p.expectedEnd(h, stopping), n, stopping})
+	}
 	if stopping {
 		return
 	}
@@ -198,13 +198,12 @@
 	}
 }
 
-// expectedEnd returns when a run is expected to end.
+// expectedEnd returns when a run that is not long-running, or is stopping, is expected to
+// end.
 func (p *pass) expectedEnd(h carawayshift.OpenRun, stopping bool) time.Time {
 	switch {
 	case stopping:
 		return p.input.Now.Add(p.cfg.MaxStopTime)
-	case h.Requirements.LongRunning:
-		return p.input.Now.Add(longRunningTime)
 	case !h.Ends.IsZero():
 		return h.Ends
 	}
@@ -453,8 +452,14 @@
 	}
 }
 
-// advanceRelease moves the expected release of a stopped run to the time by.
+// advanceRelease moves the expected release of a stopped run to the time by. Long-running
+// tasks have none before, as they don't end.
 func (r *runnerState) advanceRelease(by time.Time, h carawayshift.OpenRun, p *pass) {
+	if h.Requirements.LongRunning {
+		r.releases = append(r.releases, release{by, resourcesOf(h.Requirements), true})
+		r.sort()
+		return
+	}
 	was := release{p.expectedEnd(h, false), resourcesOf(h.Requirements), false}
 	if i := slices.Index(r.releases, was); i >= 0 {
 		r.releases[i].at, r.releases[i].stopping = by, true
