dispatcher: a wrong fencing token of one runner stops nothing

What would have been seen: no task of any team is started any more, until the leader changes. Found by looking for waits that nothing ends.

Cause: a leader whose token a runner refused stopped dispatching and waited for the end of its term. If no newer leader is the reason, the term does not end. Tokens are raised within a term now, so that a refusal may also come from an earlier call of the same leader.

Change: a refusal ends the term's dispatching only if it is not certain that this host still leads (Permitted, the check that precedes each call). A runner that refuses gets no new work until it answers. A leader that has stopped starts again once it is certain. The same for refused maintenance requests.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -195,7 +195,7 @@
 	t.wait()
 	d.gauges.publish(nil)
 	t.log.WithField("event", "resigned").Info("dispatching has stopped: the host has lost the leadership or is shutting down")
-	d.awaitTermEnd(parent, term)
+	d.awaitResignation(parent, term)
 }
 
 // watchTerm cancels the dispatching of a term when the term ends.
@@ -214,10 +214,11 @@
 	}
 }
 
-// awaitTermEnd waits until the term has ended. A runner may have refused the
-// term's fencing token before this host knows of the newer term.
-func (d *Dispatcher) awaitTermEnd(ctx context.Context, term uint64) {
-	for ctx.Err() == nil {
+// awaitResignation waits until the term has ended, or it is certain that this host still
+// leads. A runner may have refused the term's fencing token before this host knows of the
+// newer term.
+func (d *Dispatcher) awaitResignation(ctx context.Context, term uint64) {
+	for ctx.Err() == nil && !d.permitted(term) {
 		current, ok, changed := d.cfg.Term()
 		if !ok || current != term {
 			return
@@ -225,6 +226,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-time.After(permissionInterval):
 		}
 	}
 }
--- a/internal/dispatcher/incarnation_test.go
+++ b/internal/dispatcher/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -79,3 +80,22 @@
 		o.Expect(incarnation).To(Equal(int64(2)))
 	})
 }
+
+// A runner has seen a fencing token that no leader of this deployment has sent. It must
+// not keep the leader from using the others.
+func TestWrongTokenOfRunnerStopsNothing(t *testing.T) {
+	play(t, 1, 2, func(ctx context.Context, r *rig) {
+		o := NewWithT(t)
+		time.Sleep(2 * time.Second)
+		r.submit("a", single(6))
+		time.Sleep(200 * time.Millisecond)
+		call := carawayshift.AgentCall{Agent: carawayshift.Agent{ID: "i-0"}, Fence: math.MaxUint64}
+		_, err := r.agents["i-0"].Renew(ctx, call, 0, 0, 0)
+		o.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Second)
+		o.Expect(r.state("a")).To(Equal(carawayshift.BatchFinished))
+		r.submit("b", single(6))
+		time.Sleep(10 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
--- a/internal/dispatcher/maintenance.go
+++ b/internal/dispatcher/maintenance.go
@@ -164,7 +164,9 @@
 	switch carawayshift.KindOf(err) {
 	case carawayshift.Conflict:
 		entry.WithError(err).Warn("a newer leader has sent a request for this machine")
-		t.resign()
+		if !t.permitted() {
+			t.resign()
+		}
 	case carawayshift.NotFound:
 		entry.WithError(err).Info("machine no longer exists")
 		t.mu.Lock()
--- a/internal/dispatcher/permission.go
+++ b/internal/dispatcher/permission.go
@@ -84,7 +84,11 @@
 }
 
 func (t *leaderTerm) permitted() bool {
-	return t.d.cfg.Permitted == nil || t.d.cfg.Permitted(t.term)
+	return t.d.permitted(t.term)
+}
+
+func (d *Dispatcher) permitted(term uint64) bool {
+	return d.cfg.Permitted == nil || d.cfg.Permitted(term)
 }
 
 // permissionGranted returns a channel that is closed when a check succeeds. The
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -52,9 +52,8 @@
 	contacted bool
 	// answered is when the runner last answered a renewal.
 	answered time.Time
-	// fence is the fencing token of the session's calls, raised when it was last raised.
-	fence  uint64
-	raised time.Time
+	// fence is the fencing token of the session's calls.
+	fence uint64
 	// renewing is true while a renewal is in flight, exited once the runner has
 	// deregistered.
 	renewing, exited bool
@@ -129,7 +128,7 @@
 // a later incarnation of the runner, which the id in a call does not tell apart. The
 // caller holds s.t.mu.
 func (s *session) raiseFence() {
-	s.fence, s.raised = s.t.nextFence(), time.Now()
+	s.fence = s.t.nextFence()
 }
 
 // replaceIncarnation replaces the session by one for the incarnation that
@@ -351,6 +350,14 @@
 	}
 }
 
+// markUnresponsive keeps new work from the runner until it answers a renewal.
+func (s *session) markUnresponsive() {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.unanswered = true
+	s.signal()
+}
+
 // checkStatus requests the status of a runner that did not respond to a call.
 // The runner gets no new work until it responds.
 func (s *session) checkStatus() (carawayshift.AgentStatus, error) {
@@ -504,8 +511,9 @@
 }
 
 // handleCallError handles the refusals that end the session or the term, and
-// reports whether either is over. A call that was sent before the fencing token was raised
-// is refused without a newer leader. A refused connection does not prove
+// reports whether either is over. A runner that refuses the fencing token of a host that
+// may still lead has executed a later call of it, or its token is wrong: it gets no new
+// work until it answers. A refused connection does not prove
 // that the runner has exited: the network may have reset the connection while
 // the runner still works.
 func (s *session) handleCallError(err error) bool {
@@ -513,7 +521,9 @@
 	switch {
 	case s.ctx.Err() != nil:
 		return true
-	case errors.As(err, &refusal) && refusal.Reason == carawayshift.RefusedFence && s.wasRaised():
+	case errors.As(err, &refusal) && refusal.Reason == carawayshift.RefusedFence && s.t.permitted():
+		s.log.WithError(err).WithField("event", "token refused").Warn("runner refused the fencing token, and no newer leader can have called it")
+		s.markUnresponsive()
 		return false
 	case errors.As(err, &refusal) && refusal.Reason == carawayshift.RefusedFence:
 		s.log.Warn("runner refused the fencing token: a newer leader has called it")
@@ -525,11 +535,3 @@
 	}
 	return false
 }
-
-// wasRaised reports whether a call that has just been refused may have been sent before the
-// fencing token was raised.
-func (s *session) wasRaised() bool {
-	s.t.mu.Lock()
-	defer s.t.mu.Unlock()
-	return !s.raised.IsZero() && time.Since(s.raised) < renewWait+2*callTimeout
-}
