dispatcher: best-effort tasks speed up once they are alone

What callers would see: a best-effort task that was slowed down to nothing for a serving task does no work for the rest of its life, although the serving task has ended.

Cause: adjustThrottle returned at once unless both kinds of tasks share the runner, so that the last speed stayed. Ruled out: the stall check, which looks at tasks that have made some progress only.

Change: without a task that has a limit of its tail latency, best-effort tasks get full speed.

TestBestEffortTaskSpeedsUpOnceAlone failed before.

--- a/internal/dispatcher/services_test.go
+++ b/internal/dispatcher/services_test.go
@@ -331,3 +331,31 @@
 		o.Expect(m.requests).To(HaveLen(4))
 	})
 }
+
+// A best-effort task was slowed down to nothing for a serving task on its runner. It must
+// not stay so once that has ended.
+func TestBestEffortTaskSpeedsUpOnceAlone(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return time.Hour }
+		time.Sleep(2 * time.Second)
+		r.submit("serve", carawayshift.Step{Count: 1, MilliCores: 1000, Memory: 100, LongRunning: true, TailLatency: 100 * time.Millisecond})
+		r.submit("fill", carawayshift.Step{Count: 1, MilliCores: 1000, Memory: 100, LongRunning: true, BestEffort: true})
+		time.Sleep(time.Second)
+		r.cancel("serve")
+		time.Sleep(3 * time.Second)
+		term := r.leader().current()
+		speed := func(set int) int {
+			term.mu.Lock()
+			defer term.mu.Unlock()
+			fill := term.sessions["i-0"].find(carawayshift.TaskName{Batch: "fill"}, 1)
+			if set >= 0 {
+				fill.percent = set
+			}
+			return fill.percent
+		}
+		speed(0)
+		time.Sleep(5 * time.Second)
+		o.Expect(speed(-1)).To(Equal(fullSpeed))
+	})
+}
--- a/internal/dispatcher/throttle.go
+++ b/internal/dispatcher/throttle.go
@@ -27,13 +27,11 @@
 }
 
 // adjustThrottle slows down the best-effort tasks when a tail latency gets
-// close to its limit, and speeds them up again afterwards. latencyRatio is the
-// highest ratio of a tail latency to its limit. The caller holds s.t.mu.
+// close to its limit, and speeds them up again afterwards, at once if no task with such a
+// limit is left. latencyRatio is the highest ratio of a tail latency to its limit. The
+// caller holds s.t.mu.
 func (s *session) adjustThrottle(st carawayshift.AgentStatus) {
-	if !s.needsThrottle() {
-		return
-	}
-	latencyRatio := 0.0
+	limited, latencyRatio := s.needsThrottle(), 0.0
 	for _, l := range st.Running {
 		r := s.find(l.Task, l.Run)
 		if r != nil && r.requirements.TailLatency > 0 {
@@ -44,7 +42,10 @@
 		if !r.requirements.BestEffort || r.confirmed.IsZero() {
 			continue
 		}
-		percent := throttle.Next(r.percent, latencyRatio)
+		percent := fullSpeed
+		if limited {
+			percent = throttle.Next(r.percent, latencyRatio)
+		}
 		if percent != r.percent {
 			r.percent = percent
 			s.sendThrottle(task, r.number, percent, latencyRatio)
