dispatcher: clean up after a reading of the whole change

The estimate starts anew now when the runner answers a renewal with an earlier clock. The input of the waves is made in two functions, and long lines are broken.

--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -66,9 +66,11 @@
 	t := &leaderTerm{
 		d: d, term: term, started: time.Now(), resign: resign,
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
-		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{}, stopping: map[carawayshift.TaskName]int{},
-		advice: map[carawayshift.TaskName]*advice{}, maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{}, maintenanceRequested: map[waveMachine]time.Time{}, maintenanceLate: map[waveMachine]time.Time{},
-		draining: map[string]bool{}, requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
+		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{},
+		stopping: map[carawayshift.TaskName]int{}, requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
+		advice: map[carawayshift.TaskName]*advice{}, draining: map[string]bool{},
+		maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{},
+		maintenanceRequested: map[waveMachine]time.Time{}, maintenanceLate: map[waveMachine]time.Time{},
 	}
 	t.client = permittedClient{d.cfg.Client, t}
 	return t
--- a/internal/dispatcher/maintenance.go
+++ b/internal/dispatcher/maintenance.go
@@ -96,7 +96,7 @@
 	defer t.mu.Unlock()
 	t.maintenanceRequested[m] = time.Now()
 	switch carawayshift.KindOf(err) {
-	case carawayshift.Conflict, carawayshift.NotFound, carawayshift.Refused:
+	case carawayshift.NotRun, carawayshift.Conflict, carawayshift.NotFound, carawayshift.Refused:
 	default:
 		t.maintenanceLate[m] = time.Now().Add(lateCallLimit)
 	}
@@ -212,6 +212,13 @@
 			Tasks:       map[carawayshift.TaskName]maintenance.Tasks{},
 		})
 	}
+	t.countTasks(&v, index, listed, openRuns)
+	return v
+}
+
+// countTasks adds the open runs to the input. index holds the positions of the wave's
+// machines. The caller holds t.mu.
+func (t *leaderTerm) countTasks(v *maintenance.Input, index map[string]int, listed map[string]carawayshift.Machine, openRuns []carawayshift.OpenRun) {
 	machines, requested := t.machinesByRunner(listed), t.unfinishedRequests()
 	// unplaced counts the tasks whose machine is not known: it may be any that is not
 	// listed.
@@ -239,18 +246,16 @@
 			unplaced[step] = countTask(unplaced[step], state)
 		}
 	}
-	for i, m := range v.Machines {
+	for _, m := range v.Machines {
 		if _, present := listed[m.Name]; present {
 			continue
 		}
 		for step, n := range unplaced {
-			n.Uncertain += m.Tasks[step].Uncertain
-			n.Available += m.Tasks[step].Available
-			m.Tasks[step] = n
+			m.Tasks[step] = maintenance.Tasks{
+				Available: m.Tasks[step].Available + n.Available, Uncertain: m.Tasks[step].Uncertain + n.Uncertain,
+			}
 		}
-		v.Machines[i] = m
 	}
-	return v
 }
 
 // countTask adds a task to the count of a machine.
@@ -272,7 +277,9 @@
 		machines[m.Runner] = name
 	}
 	for id, s := range t.sessions {
-		machines[id] = s.agent.Machine
+		if s.agent.Machine != "" {
+			machines[id] = s.agent.Machine
+		}
 	}
 	return machines
 }
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -74,12 +74,12 @@
 	return s.exited
 }
 
-// nextRenewal reports whether a renewal is due: to extend the leases of confirmed
-// runs, to make a restarted runner refuse earlier calls, to notice that the runner of a run being stopped is gone, to acknowledge
-// committed ends, because the runner did not respond, or to learn whether it has the
-// adopted runs. wait is how long the runner may delay
-// its response until a run ends. A renewal that is due counts as in flight from here
-// on.
+// nextRenewal reports whether a renewal is due: to extend the leases of confirmed runs,
+// to notice that the runner of a run that is being stopped is gone, to acknowledge
+// committed ends, because the runner did not respond, to make a restarted runner refuse
+// earlier calls, or to learn whether it has the adopted runs. wait is how long the runner
+// may delay its response until a run ends. A renewal that is due counts as in flight from
+// here on.
 func (s *session) nextRenewal() (due bool, wait time.Duration) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -124,6 +124,7 @@
 	s.t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
+	sent := time.Now()
 	st, err := s.t.client.Renew(ctx, call, seen, until, wait)
 	if err != nil {
 		return st, err
@@ -136,6 +137,9 @@
 	defer s.t.mu.Unlock()
 	s.acknowledged = max(s.acknowledged, seen)
 	s.unanswered, s.unconfirmed, s.contacted, s.answered = false, false, true, time.Now()
+	if s.answeredByOther(st.Clock, sent) {
+		s.clockAt = time.Time{} // the clock has stood still: the estimate starts anew
+	}
 	s.updateClock(st.Clock)
 	return st, nil
 }
