--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -43,8 +43,8 @@
 	Retention time.Duration
 	// Stop is the maximum time that stopping a task takes.
 	Stop time.Duration
-	// ReadyDelay is how long a long-running task still counts as unavailable
-	// after it has started again.
+	// ReadyDelay is how long after its start a long-running task without complete
+	// progress may come to work at any moment.
 	ReadyDelay time.Duration
 	// Maintenance is the duration of a machine's maintenance.
 	Maintenance time.Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,8 +83,8 @@
 	Stop time.Duration
 	// Reclaim is the time within which a team must get its guarantee back.
 	Reclaim time.Duration
-	// ReadyDelay is how long a lasting task still counts as absent after it has
-	// started again.
+	// ReadyDelay is how long after its start a long-running task without complete
+	// progress may come to work at any moment.
 	ReadyDelay time.Duration
 	// Maintenance is the duration of the maintenance of a machine.
 	Maintenance time.Duration
--- a/pkg/assignment/dispatcher.go
+++ b/pkg/assignment/dispatcher.go
@@ -14,7 +14,8 @@
 // nowhere reserves the runner that is expected to have enough free resources
 // first; other tasks may use them until then. Demands of priority 0 preempt runs
 // when they would otherwise be late and little work is lost, and whenever their
-// team is within its guarantee.
+// team is within its guarantee. Long-running tasks are preempted only in the latter
+// case, and no more of a step at once than its MaxUnavailable.
 package assignment
 
 import (
