--- a/internal/dispatcher/ends_test.go
+++ b/internal/dispatcher/ends_test.go
@@ -142,8 +142,8 @@
 	})
 }
 
-// A runner starts again under its id and is then cut off for good: the stops that are sent
-// to its new incarnation are never answered, and its tasks must start elsewhere.
+// A runner starts again under its id and is then cut off for good: its new incarnation never
+// answers, and its tasks must start elsewhere.
 func TestUnansweredStopOfRebornRunnerEnds(t *testing.T) {
 	play(t, 1, 2, func(_ context.Context, r *rig) {
 		o := NewWithT(t)
