--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -77,7 +77,8 @@
 	confirmed time.Time
 	// begun is true once the runner has confirmed the start or listed the run.
 	begun bool
-	// adopted is true for a run of an earlier term.
+	// adopted is true for a run of an earlier term, or of an earlier incarnation of the
+	// runner, unless this session has sent its start again.
 	adopted bool
 	// listed is when the last renewal was sent in whose response the runner listed the
 	// run, atWork whether the run had reported complete progress there.
