intake: requests that wait leave connections for others

Callers saw their connections closed without an answer, for as long as a crowd waited for a leader: an ordinary caller that tried again and again was answered after many seconds or not at all.

Cause: a connection whose request is being handled is never closed for a new one, and requests could be handled on all of them. While no leader is known each request waits 3 s, and a client that sends 300 at once and reads no answer holds its connection for the next one.

Evidence: TestLeaderless, 1,500 clients with 300 requests each. An ordinary caller may try five times in turn; a number of tries doesn't depend on the machine's speed.

Change: requests are handled on three quarters of a listener's connections at the same time. One more is refused at once, before its body is read, as "not run" with Retry-After, and its connection is closed. Readiness counts against those three quarters.

Why it works: the other quarter is never being handled, so a new connection always finds one to replace, and is answered.

--- a/cmd/carawayshift/flood/flood_test.go
+++ b/cmd/carawayshift/flood/flood_test.go
@@ -466,6 +466,16 @@
 	d.g.Expect(files).To(And(BeNumerically(">", 0), BeNumerically("<=", p.files*7/8)), "open descriptors")
 }
 
+// subtest runs a part of a test on the deployment that the test has started.
+func (d *deployment) subtest(name string, run func()) {
+	t, g := d.t, d.g
+	defer func() { d.t, d.g = t, g }()
+	t.Run(name, func(t *testing.T) {
+		d.t, d.g = t, NewWithT(t)
+		run()
+	})
+}
+
 type flood struct {
 	name     string
 	listener string
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -29,6 +29,7 @@
 var (
 	errSlow    = errors.New("the body did not move on")
 	errTooLong = errors.New("the declared length exceeds the limit")
+	errBusy    = errors.New("too many requests are being handled")
 )
 
 // bodyReader describes how a body is read.
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -12,6 +12,10 @@
 // favour of a new one ahead of the connections between two requests.
 const settleTime = time.Second
 
+// idleConnectionsPart is the part of the connections of a listener whose requests are
+// not handled.
+const idleConnectionsPart = 4
+
 type connectionKey struct{}
 
 // phase is what a connection is doing.
@@ -40,9 +44,27 @@
 	receivesMuch, sendsMuch bool
 }
 
-func (c *connection) reading()  { c.enter(bodyPhase) }
-func (c *connection) handling() { c.enter(handlingPhase) }
-func (c *connection) writing()  { c.enter(writingPhase) }
+func (c *connection) reading() { c.enter(bodyPhase) }
+func (c *connection) writing() { c.enter(writingPhase) }
+
+// handling reports whether the request may be handled. If not, too many others are.
+func (c *connection) handling() bool {
+	if c.busy() {
+		return false
+	}
+	c.enter(handlingPhase)
+	return true
+}
+
+// busy reports whether as many requests of the listener are handled as may be.
+func (c *connection) busy() bool {
+	if c == nil {
+		return false
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	return c.phase != handlingPhase && c.table.handled >= c.table.maxHandled()
+}
 
 func (c *connection) enter(p phase) {
 	if c == nil {
@@ -51,7 +73,7 @@
 	c.table.mu.Lock()
 	defer c.table.mu.Unlock()
 	if c.phase != p {
-		c.phase, c.since = p, time.Now()
+		c.table.setPhase(c, p)
 	}
 }
 
@@ -85,29 +107,45 @@
 
 	mu   sync.Mutex
 	open map[net.Conn]*connection
+	// handled is the number of open connections whose requests are being handled.
+	handled int
 }
 
 func newTable(limit int, buffers *bufferPool, closed func(reason string)) *table {
 	return &table{limit: max(limit, 1), buffers: buffers, closed: closed, open: map[net.Conn]*connection{}}
 }
 
+// maxHandled is the number of connections whose requests may be handled at the same time.
+// The others take new connections, so that what can't be handled is refused at once.
+func (t *table) maxHandled() int { return max(t.limit-t.limit/idleConnectionsPart, 1) }
+
+// setPhase changes the phase of a connection. The mutex is held.
+func (t *table) setPhase(c *connection, p phase) {
+	if t.open[c.conn] == c {
+		t.handled += handledCount(p) - handledCount(c.phase)
+	}
+	c.phase, c.since = p, time.Now()
+}
+
+func handledCount(p phase) int {
+	if p == handlingPhase {
+		return 1
+	}
+	return 0
+}
+
 func (t *table) size() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return len(t.open)
 }
 
-// load returns the part of the connections whose requests are being handled.
+// load returns the number of requests that are being handled as a part of those that may
+// be.
 func (t *table) load() float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	handled := 0
-	for _, c := range t.open {
-		if c.phase == handlingPhase {
-			handled++
-		}
-	}
-	return float64(handled) / float64(t.limit)
+	return float64(t.handled) / float64(t.maxHandled())
 }
 
 // add records a new connection. If there are too many, it closes another one, or the
@@ -149,6 +187,7 @@
 func (t *table) delete(conn net.Conn) {
 	if c := t.open[conn]; c != nil {
 		c.releaseBuffers()
+		t.handled -= handledCount(c.phase)
 		delete(t.open, conn)
 	}
 }
@@ -160,13 +199,13 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if c := t.open[conn]; c != nil {
-			c.phase, c.since = idlePhase, time.Now()
+			t.setPhase(c, idlePhase)
 		}
 	case http.StateActive:
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if c := t.open[conn]; c != nil && c.phase == idlePhase {
-			c.phase, c.since = headersPhase, time.Now()
+			t.setPhase(c, headersPhase)
 		}
 	case http.StateClosed, http.StateHijacked:
 		t.remove(conn)
--- a/internal/intake/handler_test.go
+++ b/internal/intake/handler_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,3 +116,42 @@
 		g.Expect(arrival).To(Equal(start))
 	})
 }
+
+// Guards against requests that hold all connections of a listener, so that new ones are
+// closed without an answer, and against a count that does not fall again.
+func TestBusyListenerRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newHandler(newLimits(8<<10), 1000)
+		var reached atomic.Int32
+		table := newTable(4, newBufferPool(0), func(string) {})
+		release := make(chan struct{})
+		h.next = http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1); <-release })
+		serve := func(body string) *httptest.ResponseRecorder {
+			client, server := net.Pipe()
+			defer func() { _ = client.Close() }()
+			r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connectionKey{}, table.add(server, func() {}))))
+			table.setState(server, http.StateClosed)
+			return w
+		}
+		for range 3 {
+			go serve("")
+		}
+		synctest.Wait()
+		for _, body := range []string{"", "[0]"} {
+			start := time.Now()
+			w := serve(body)
+			g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+			g.Expect(w.Header().Get("Retry-After")).To(Equal("1"))
+			g.Expect(w.Header().Get("Connection")).To(Equal("close"))
+			g.Expect(time.Since(start)).To(BeZero())
+		}
+		g.Expect(reached.Load()).To(BeEquivalentTo(3))
+		close(release)
+		synctest.Wait()
+		g.Expect(table.load()).To(BeZero())
+		g.Expect(serve("[0]").Code).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -153,18 +153,18 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connectionKey{}).(*connection)
 	rw := &responseWriter{ResponseWriter: w, conn: c, limits: h.in.cfg.Limits, control: http.NewResponseController(w)}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		c.handling()
-		h.next.ServeHTTP(rw, r)
-		rw.finish()
-		return
-	}
-	if h.listener.Body == 0 {
+	empty := r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0
+	if !empty && h.listener.Body == 0 {
 		rw.closeAfterwards()
 		r.Body = http.NoBody
-		c.handling()
-		h.next.ServeHTTP(rw, r)
-		rw.finish()
+		empty = true
+	}
+	if empty {
+		h.handle(rw, r, c)
+		return
+	}
+	if c.busy() {
+		h.refuse(rw, r, errBusy)
 		return
 	}
 	if r.ContentLength > h.listener.Body {
@@ -180,7 +180,6 @@
 		h.refuse(rw, r, err)
 		return
 	}
-	c.handling()
 	if !account.Keep() {
 		// The connection is being closed. Without a panic the server would answer with
 		// status 200 if it is faster.
@@ -190,8 +189,18 @@
 		rw.closeAfterwards()
 	}
 	r.Body = &received{Reader: bytes.NewReader(body), body: body, arrived: arrived}
-	h.next.ServeHTTP(rw, r)
-	rw.finish()
+	h.handle(rw, r, c)
+}
+
+// handle calls the next handler unless too many requests are being handled: new
+// connections could not be accepted while all are.
+func (h *handler) handle(w *responseWriter, r *http.Request, c *connection) {
+	if !c.handling() {
+		h.refuse(w, r, errBusy)
+		return
+	}
+	h.next.ServeHTTP(w, r)
+	w.finish()
 }
 
 // read returns the body, or its beginning if it is longer than the listener accepts.
@@ -226,12 +235,15 @@
 	return body, account.Resize(r.Context(), held)
 }
 
-// refuse answers a request whose body was not read completely. The connection is
-// closed, since its next bytes belong to that body.
+// refuse answers a request that is not handled. The connection is closed: its next bytes
+// belong to the body, or to requests that would be refused as well.
 func (h *handler) refuse(w *responseWriter, r *http.Request, err error) {
 	w.closeAfterwards()
 	reason := "body"
 	switch {
+	case errors.Is(err, errBusy):
+		reason = "handling"
+		err = carawayshift.NewError(carawayshift.NotRun, "this host handles as many requests as its connections allow", "send it again later")
 	case errors.Is(err, bytebudget.ErrFull):
 		reason = "budget"
 		err = carawayshift.NewError(carawayshift.NotRun, "this host holds as many bodies as its memory allows", "send it again later")
