intake: the memory of request heads is counted

Callers saw refused connections and a restarted process: a host ran out of memory from heads inside the limit of bytes, with thousands of short headers.

Cause: a parsed header takes about a hundred bytes beside its text, so that a head of 15 KB took over 200 KB. Only the number of connections and the bytes of a head were bounded, and a head that stops short of its end has no handler that could count it.

Change: reads of a connection are counted while a head arrives, by bytes and lines. What goes beyond 8 KB is charged to the budget of bodies before the server parses it, until the request has ended; the oldest unfinished ones are closed for newer ones. A head that finds no room is answered 503 with Retry-After, not 400, after which a caller would give up.

Why it works: the estimate is above what a header takes, and the budget is an eighth of the memory.

Ruled out: a limit on the number of headers, since clients inside the platform's limit of bytes may send as many as they like.

--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -34,8 +34,10 @@
 type connection struct {
 	conn  net.Conn
 	table *table
-	// cancel ends what waits for the request of the connection.
+	// ctx is that of the connection, and cancel ends what waits for its request.
+	ctx    context.Context
 	cancel context.CancelFunc
+	head   *head
 
 	// The fields below are guarded by the mutex of the table.
 	phase phase
@@ -102,8 +104,9 @@
 type table struct {
 	limit   int
 	buffers *bufferPool
-	// closed is called after a connection was closed by this package.
-	closed func(reason string)
+	// closed is called after a connection was closed by this package, refused after a
+	// request was refused before its head was complete.
+	closed, refused func(reason string)
 
 	mu   sync.Mutex
 	open map[net.Conn]*connection
@@ -151,7 +154,7 @@
 // add records a new connection. If there are too many, it closes another one, or the
 // new one if all others are being handled. It calls cancel for one that it closes.
 func (t *table) add(conn net.Conn, cancel context.CancelFunc) *connection {
-	c := &connection{conn: conn, table: t, cancel: cancel, since: time.Now()}
+	c := &connection{conn: conn, table: t, cancel: cancel, since: time.Now(), head: &head{}}
 	t.mu.Lock()
 	var victim *connection
 	reset := true
@@ -200,6 +203,7 @@
 		defer t.mu.Unlock()
 		if c := t.open[conn]; c != nil {
 			t.setPhase(c, idlePhase)
+			c.head.next()
 		}
 	case http.StateActive:
 		t.mu.Lock()
@@ -209,6 +213,9 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		t.remove(conn)
+		if s, ok := conn.(*socket); ok && s.c != nil {
+			s.c.head.close()
+		}
 	case http.StateNew:
 	}
 }
--- a/internal/intake/handler_test.go
+++ b/internal/intake/handler_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -155,3 +156,68 @@
 		g.Expect(serve("[0]").Code).To(Equal(http.StatusOK))
 	})
 }
+
+// Guards against heads whose memory is not counted, or not returned.
+func TestHeadMemory(t *testing.T) {
+	g := NewWithT(t)
+	in := New(Config{Limits: newLimits(1 << 20)})
+	used := func() int64 { return in.budget.Stats().Used }
+	h := &head{budget: in.budget, evict: func() {}}
+	fields := []byte(strings.Repeat("a:\r\n", 500))
+	g.Expect(h.add(t.Context(), []byte("GET / HTTP/1.1\r\nHost: shop.example\r\n"))).To(Succeed())
+	g.Expect(used()).To(BeZero(), "an ordinary head")
+	g.Expect(h.add(t.Context(), fields)).To(Succeed())
+	g.Expect(used()).To(BeNumerically(">", 500*headerSize))
+	account, err := h.finish(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.add(t.Context(), fields)).To(Succeed()) // the end of a body and the next head
+	g.Expect(h.add(t.Context(), []byte("x"))).To(Succeed())
+	before := used()
+	account.Close()
+	g.Expect(used()).To(BeZero())
+	h.next()
+	account, err = h.finish(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(used()).To(BeNumerically("~", before, 1<<10), "the head that was read with the body")
+	account.Close()
+	h.next()
+	g.Expect(h.add(t.Context(), fields)).To(Succeed())
+	g.Expect(used()).NotTo(BeZero())
+	h.close()
+	g.Expect(used()).To(BeZero(), "after the connection was closed")
+}
+
+// Guards against heads that are turned away without an answer, and against status 400,
+// after which callers give up.
+func TestHeadsThatFindNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		used, lines int
+		want        string
+	}{
+		{"room", 0, 500, "200 OK"},
+		{"no room", 800 << 10, 1000, "503 Service Unavailable"},
+		{"never room", 0, 7000, "431 Request Header Fields Too Large"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			limits := newLimits(1 << 20)
+			limits.Headers = 64 << 10
+			in := New(Config{Limits: limits})
+			other := in.budget.Open(func() {})
+			g.Expect(other.Resize(t.Context(), int64(c.used))).To(Succeed())
+			other.Keep()
+			ln, err := Listen("127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			srv := in.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), Listener{Name: "entry", Connections: 4})
+			go func() { _ = in.Serve(srv, ln) }()
+			defer func() { _ = srv.Close() }()
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", c.lines)+"\r\n")
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			g.Expect(line).To(Equal("HTTP/1.1 " + c.want + "\r\n"))
+		})
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -100,6 +100,7 @@
 // Server returns a server for one listener.
 func (in *Intake) Server(h http.Handler, l Listener) *http.Server {
 	t := newTable(l.Connections, in.buffers, func(reason string) { in.count("closed", l.Name, reason) })
+	t.refused = func(reason string) { in.count("refused", l.Name, reason) }
 	if l.Body > 0 {
 		in.mu.Lock()
 		in.tables = append(in.tables, t)
@@ -111,9 +112,14 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    in.cfg.Limits.Headers,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			ctx, cancel := context.WithCancel(ctx)
-			return context.WithValue(ctx, connectionKey{}, t.add(c, cancel))
+			c := t.add(conn, cancel)
+			c.ctx, c.head = ctx, &head{budget: in.budget, evict: c.close}
+			if s, ok := conn.(*socket); ok {
+				s.c = c
+			}
+			return context.WithValue(ctx, connectionKey{}, c)
 		},
 		ConnState: t.setState,
 	}
@@ -125,7 +131,7 @@
 	if err := limitSockets(ln, in.cfg.Limits.pieceTime()); err != nil {
 		in.cfg.Log.WithError(err).Warn("the buffers of connections can't be limited; the kernel's settings bound them")
 	}
-	return srv.Serve(ln)
+	return srv.Serve(listener{ln})
 }
 
 // count counts a client that was not served, and logs it at most once a second.
@@ -153,6 +159,12 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connectionKey{}).(*connection)
 	rw := &responseWriter{ResponseWriter: w, conn: c, limits: h.in.cfg.Limits, control: http.NewResponseController(w)}
+	held, err := c.headComplete(r.Context())
+	if err != nil {
+		h.refuse(rw, r, err)
+		return
+	}
+	defer held.Close()
 	empty := r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0
 	if !empty && h.listener.Body == 0 {
 		rw.closeAfterwards()
@@ -160,7 +172,7 @@
 		empty = true
 	}
 	if empty {
-		h.handle(rw, r, c)
+		h.handle(rw, r, c, held)
 		return
 	}
 	if c.busy() {
@@ -180,25 +192,28 @@
 		h.refuse(rw, r, err)
 		return
 	}
-	if !account.Keep() {
-		// The connection is being closed. Without a panic the server would answer with
-		// status 200 if it is faster.
-		panic(http.ErrAbortHandler)
-	}
 	if int64(len(body)) > h.listener.Body {
 		rw.closeAfterwards()
 	}
 	r.Body = &received{Reader: bytes.NewReader(body), body: body, arrived: arrived}
-	h.handle(rw, r, c)
+	h.handle(rw, r, c, held, account)
 }
 
 // handle calls the next handler unless too many requests are being handled: new
-// connections could not be accepted while all are.
-func (h *handler) handle(w *responseWriter, r *http.Request, c *connection) {
+// connections could not be accepted while all are. The accounts hold the memory of the
+// request.
+func (h *handler) handle(w *responseWriter, r *http.Request, c *connection, accounts ...*bytebudget.Account) {
 	if !c.handling() {
 		h.refuse(w, r, errBusy)
 		return
 	}
+	for _, a := range accounts {
+		if !a.Keep() {
+			// The connection is being closed. Without a panic the server would answer
+			// with status 200 if it is faster.
+			panic(http.ErrAbortHandler)
+		}
+	}
 	h.next.ServeHTTP(w, r)
 	w.finish()
 }
@@ -246,7 +261,7 @@
 		err = carawayshift.NewError(carawayshift.NotRun, "this host handles as many requests as its connections allow", "send it again later")
 	case errors.Is(err, bytebudget.ErrFull):
 		reason = "budget"
-		err = carawayshift.NewError(carawayshift.NotRun, "this host holds as many bodies as its memory allows", "send it again later")
+		err = carawayshift.NewError(carawayshift.NotRun, "this host holds as many requests as its memory allows", "send it again later")
 	case errors.Is(err, bytebudget.ErrTooLarge):
 		reason = "size"
 		err = carawayshift.NewError(carawayshift.TooLarge, "the body would take more memory than this host has for bodies", "send it in parts, or raise [limits] memory")
--- a/pkg/bytebudget/bytebudget.go
+++ b/pkg/bytebudget/bytebudget.go
@@ -79,7 +79,8 @@
 	Evicted, Refused uint64
 }
 
-// Account holds the bytes of one body. Its methods must not be called concurrently.
+// Account holds the bytes of one body. Its methods must not be called concurrently. Keep
+// and Close of a nil Account do nothing.
 type Account struct {
 	budget  *Budget
 	evict   func()
@@ -242,6 +243,9 @@
 // Keep makes the account safe from eviction. It reports whether the account had not
 // been evicted before.
 func (a *Account) Keep() bool {
+	if a == nil {
+		return true
+	}
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -255,6 +259,9 @@
 
 // Close returns the bytes of the account. It may be called more than once.
 func (a *Account) Close() {
+	if a == nil {
+		return
+	}
 	a.Keep()
 	a.resize(0)
 }
