standin: the listeners have the limits of hosts

Callers of a stand-in saw it run out of memory, and hosts beside it lost theirs.

Cause: the stand-ins served HTTP without any limit but a megabyte for headers.

The code before has no setting to lower, so the bound is the new default of 128 MB.

Runners that tests embed are as before.

Why it works: the same bounds as on hosts.

--- a/cmd/carawayshift/standin.go
+++ b/cmd/carawayshift/standin.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"carawayshift.example/carawayshift"
+	"carawayshift.example/carawayshift/internal/intake"
+	"carawayshift.example/carawayshift/internal/settings"
 	"carawayshift.example/carawayshift/internal/standin/agent"
 	"carawayshift.example/carawayshift/internal/standin/runner"
 	"carawayshift.example/carawayshift/internal/standin/worker"
@@ -22,7 +25,22 @@
 	Agent  standinAgentCmd  `cmd:"" help:"A runner that executes tasks of batches. Example: carawayshift standin agent --id i-1 --zone belmont --rack r1 --service fit --listen 127.0.0.1:9201 --control 127.0.1.1:8526"`
 }
 
+// standinLimits bounds what clients can make a stand-in hold.
+type standinLimits struct {
+	Limit int `help:"Memory of the process in MB. The limits of bodies and connections are parts of it." default:"128"`
+}
+
+// newIntake returns the limits of a stand-in whose largest body has a size in bytes.
+func (l standinLimits) newIntake(body int64) *intake.Intake {
+	limits := settings.DefaultLimits()
+	limits.Memory = int64(l.Limit) << 20
+	debug.SetMemoryLimit(limits.Memory / 4 * 3)
+	return intake.New(intake.Config{Limits: intake.Derive(limits, body)})
+}
+
 type standinAgentCmd struct {
+	standinLimits `embed:""`
+
 	ID           string        `help:"Id of the runner." required:""`
 	Zone         string        `help:"Availability zone." required:""`
 	Rack         string        `help:"Rack." required:""`
@@ -37,7 +55,7 @@
 
 // Run serves until ctx ends. The tasks end with the process.
 func (c *standinAgentCmd) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := intake.Listen(c.Listen)
 	if err != nil {
 		return errors.Wrap(err, "standin agent")
 	}
@@ -50,21 +68,25 @@
 		StopDuration: standinStopDuration, GangTimeout: standinGangTimeout, MaxLease: standinMaxLease,
 	})
 	s := platform.NewRunnerServer(a, c.Control, logrus.StandardLogger())
-	defer serveStandin(l, s).Close()
+	defer serveStandin(c.newIntake(platform.MaxJobBody), l, s, intake.Listener{Name: "agent", Body: platform.MaxJobBody}).Close()
 	return s.Run(ctx)
 }
 
 // serveStandin serves the calls to a stand-in until the server is closed.
-func serveStandin(l net.Listener, h http.Handler) *http.Server {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+func serveStandin(in *intake.Intake, l net.Listener, h http.Handler, limits intake.Listener) *http.Server {
+	limits.Connections, limits.HeaderTimeout, limits.Refuse = in.Limits().Connections, standinHeaderTimeout, platform.Refuse
+	srv := in.Server(h, limits)
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := in.Serve(srv, l); !errors.Is(err, http.ErrServerClosed) {
 			logrus.WithError(err).Error("the stand-in no longer accepts calls")
 		}
 	}()
 	return srv
 }
 
+// standinHeaderTimeout bounds the time for the headers of a request to a stand-in.
+const standinHeaderTimeout = time.Second
+
 // Timing of the stand-in agent: how long a stop takes, how long a member of a
 // gang waits for the others, and the maximum lease.
 const (
@@ -74,6 +96,8 @@
 )
 
 type standinRunnerCmd struct {
+	standinLimits `embed:""`
+
 	Name        string        `help:"Name of the runner." required:""`
 	Zone        string        `help:"Availability zone." required:""`
 	Service     string        `help:"Service whose requests it answers." required:""`
@@ -90,10 +114,13 @@
 	return runner.New(runner.Config{
 		Name: c.Name, Zone: c.Zone, Service: c.Service, Address: c.Listen, Hosts: c.Entry,
 		Slots: c.Slots, Connections: c.Connections, Work: c.Work, Seed: c.Seed,
+		Listen: intake.Listen, Intake: c.newIntake(runner.MaxBody),
 	}).Run(ctx)
 }
 
 type standinWorkerCmd struct {
+	standinLimits `embed:""`
+
 	Name         string   `help:"Name of the worker." required:""`
 	Zone         string   `help:"Availability zone." required:""`
 	Rack         string   `help:"Rack." required:""`
@@ -107,7 +134,7 @@
 
 // Run serves until ctx ends. The tasks end with the process.
 func (c *standinWorkerCmd) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := intake.Listen(c.Listen)
 	if err != nil {
 		return errors.Wrap(err, "standin worker")
 	}
@@ -115,6 +142,6 @@
 		Name: c.Name, Zone: c.Zone, Rack: c.Rack, Address: c.Listen, Entries: c.Entry,
 		Cores: c.Cores, Memory: c.Memory, Accelerators: c.Accelerators, RunTimeFactor: c.Factor, Log: logrus.StandardLogger(),
 	})
-	defer serveStandin(l, w).Close()
+	defer serveStandin(c.newIntake(worker.MaxBodyBytes), l, w, intake.Listener{Name: "worker", Body: worker.MaxBodyBytes}).Close()
 	return w.Run(ctx)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -257,8 +257,13 @@
 		Join:     Join{ToleratedLosses: 1},
 		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, ReadyDelay: 6 * time.Second, Maintenance: 2 * time.Second, RemoteSlowdown: 3},
 		Batches:  Batches{Retention: 3 * time.Minute, Shortage: ShortageOff},
-		// Headers leaves room above 16 KB for the request line and line ends. Stall and
-		// Pace let a body of 4 MB pass a link of 2 Mbit/s that 30 others use.
-		Limits: Limits{Headers: 20 << 10, Stall: 10 * time.Second, Pace: 8 << 10},
+		Limits:   DefaultLimits(),
 	}
 }
+
+// DefaultLimits returns the limits of a file without the section [limits].
+func DefaultLimits() Limits {
+	// Headers leaves room above 16 KB for the request line and line ends. Stall and Pace
+	// let a body of 4 MB pass a link of 2 Mbit/s that 30 others use.
+	return Limits{Headers: 20 << 10, Stall: 10 * time.Second, Pace: 8 << 10}
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -22,6 +22,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"carawayshift.example/carawayshift/internal/intake"
 )
 
 const (
@@ -58,6 +60,8 @@
 	Expiry   time.Duration
 	Faults   []Fault
 	Seed     uint64
+	// Intake limits what clients can make the process hold; nil sets no limits.
+	Intake *intake.Intake
 	// Listen and Dial replace TCP in tests.
 	Listen func(address string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
@@ -96,10 +100,30 @@
 	mux.HandleFunc("POST /faults", r.serveFaults)
 	mux.HandleFunc("GET /runs", r.serveRuns)
 	mux.HandleFunc("/r/", r.serve)
-	r.server = &http.Server{Handler: mux, ReadHeaderTimeout: shutdownTimeout}
+	r.server = newServer(cfg.Intake, mux)
 	return r
 }
 
+func newServer(in *intake.Intake, h http.Handler) *http.Server {
+	if in == nil {
+		return &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
+	}
+	return in.Server(h, intake.Listener{
+		Name: "runner", Body: MaxBody, Opaque: func(*http.Request) bool { return true },
+		Connections: in.Limits().Connections, HeaderTimeout: shutdownTimeout,
+		Refuse: func(w http.ResponseWriter, _ *http.Request, err error) {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		},
+	})
+}
+
+func (r *Runner) serveConnections(l net.Listener) error {
+	if r.cfg.Intake == nil {
+		return r.server.Serve(l)
+	}
+	return r.cfg.Intake.Serve(r.server, l)
+}
+
 func withDefaults(cfg Config) Config {
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixNano())
@@ -137,7 +161,7 @@
 		return errors.Wrap(err, "runner.Run")
 	}
 	served := make(chan error, 1)
-	go func() { served <- r.server.Serve(l) }()
+	go func() { served <- r.serveConnections(l) }()
 	defer r.client.CloseIdleConnections()
 	tick := time.NewTicker(r.cfg.Interval)
 	defer tick.Stop()
--- a/internal/standin/runner/serve.go
+++ b/internal/standin/runner/serve.go
@@ -20,13 +20,15 @@
 	HeaderWork = "X-Work-Us"
 	// HeaderSize gives the size of the answer in bytes.
 	HeaderSize = "X-Answer-Bytes"
-	maxBody    = 8 << 20
 	maxAnswer  = 8 << 20
 )
 
+// MaxBody is the size of the largest body of a request in bytes.
+const MaxBody = 8 << 20
+
 // serve handles one request, in a slot unless the request fails fast.
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, MaxBody))
 	if err != nil {
 		return
 	}
--- a/internal/standin/worker/tasks.go
+++ b/internal/standin/worker/tasks.go
@@ -9,8 +9,10 @@
 	"carawayshift.example/carawayshift/pkg/pause"
 )
 
+// MaxBodyBytes is the size of the largest body of a call.
+const MaxBodyBytes = 1 << 20
+
 const (
-	maxBodyBytes = 1 << 20
 	// expiryCheckInterval is the maximum delay after which the expiry of a lease
 	// is detected.
 	expiryCheckInterval = 50 * time.Millisecond
@@ -37,7 +39,7 @@
 
 func (w *Worker) handleTasks(rw http.ResponseWriter, r *http.Request) {
 	var c taskCall
-	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxBodyBytes)).Decode(&c); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, MaxBodyBytes)).Decode(&c); err != nil {
 		refuse(rw, http.StatusBadRequest, carawayshift.NewError(carawayshift.Malformed, err.Error(), "send {tasks, lease} as JSON"))
 		return
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -122,7 +122,7 @@
 
 func (w *Worker) handleFaults(rw http.ResponseWriter, r *http.Request) {
 	var f faults
-	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, maxBodyBytes)).Decode(&f); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(rw, r.Body, MaxBodyBytes)).Decode(&f); err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
