logwriter: the queue is bounded by bytes

Callers can make a host hold 64 MB of log lines while its log output is slow: paths of up to 16 KB are logged, and the queue takes 4,096 lines.

Cause: the queue was bounded by lines only.

Evidence: found by reading, not by a flood, whose log output is a file. On the code before, TestQueueIsBoundedByBytes without the new field: 101 lines of 1,000 bytes kept, none dropped.

Change: at most 2 MB wait; ordinary lines of 250 bytes meet the limit of lines first. What is beyond is dropped and counted as before.

Why it works: the bytes of a line are counted before it is copied and until it is written.

--- a/internal/logwriter/writer.go
+++ b/internal/logwriter/writer.go
@@ -8,8 +8,8 @@
 //	defer w.Close()
 //
 // Lines are buffered in a bounded queue and written by a separate goroutine. A
-// line is dropped when the queue is full, or when the number of lines within a
-// second exceeds the limit. Dropped lines are counted; once a second, if there
+// line is dropped when the queue is full, by lines or by bytes, or when the number of
+// lines within a second exceeds the limit. Dropped lines are counted; once a second, if there
 // were any, a line with their number is written.
 package logwriter
 
@@ -27,6 +27,9 @@
 type Config struct {
 	// Queue is the maximum number of buffered lines. Default 4096.
 	Queue int
+	// Bytes is the maximum size of the buffered lines: clients choose the length of paths
+	// and names that are logged. Default 2 MB.
+	Bytes int64
 	// PerSecond is the maximum number of lines accepted in a second. Default
 	// 2000: about 5% of a core at 25 us per line.
 	PerSecond int
@@ -36,6 +39,7 @@
 
 const (
 	defaultQueue     = 4096
+	defaultBytes     = 2 << 20
 	defaultPerSecond = 2000
 )
 
@@ -48,6 +52,8 @@
 	closeOnce sync.Once
 
 	dropped atomic.Int64
+	// queued is the size of the buffered lines in bytes.
+	queued atomic.Int64
 
 	mu          sync.Mutex
 	windowStart time.Time
@@ -59,6 +65,9 @@
 	if cfg.Queue == 0 {
 		cfg.Queue = defaultQueue
 	}
+	if cfg.Bytes == 0 {
+		cfg.Bytes = defaultBytes
+	}
 	if cfg.PerSecond == 0 {
 		cfg.PerSecond = defaultPerSecond
 	}
@@ -69,18 +78,26 @@
 
 // Write queues or drops one line. It never blocks and never returns an error.
 func (w *Writer) Write(b []byte) (int, error) {
-	if !w.admit() {
-		w.countDropped()
-		return len(b), nil
-	}
-	select {
-	case w.lines <- append([]byte(nil), b...):
-	default:
+	if !w.admit() || !w.enqueue(b) {
 		w.countDropped()
 	}
 	return len(b), nil
 }
 
+// enqueue reports whether there was room for a copy of the line.
+func (w *Writer) enqueue(b []byte) bool {
+	size := int64(len(b))
+	if w.queued.Add(size) <= w.cfg.Bytes {
+		select {
+		case w.lines <- append([]byte(nil), b...):
+			return true
+		default:
+		}
+	}
+	w.queued.Add(-size)
+	return false
+}
+
 // admit counts a line and reports whether it is within the limit of the current
 // second.
 func (w *Writer) admit() bool {
@@ -120,6 +137,7 @@
 			}
 			// An error of the log output can't be logged.
 			_, _ = w.out.Write(b)
+			w.queued.Add(-int64(len(b)))
 		case <-ticker.C:
 			w.reportDropped()
 		}
--- a/internal/logwriter/writer_test.go
+++ b/internal/logwriter/writer_test.go
@@ -48,6 +48,26 @@
 	})
 }
 
+// Guards against clients whose long paths and names fill the memory of a host while its
+// log output is slow.
+func TestQueueIsBoundedByBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := NewWithT(t)
+		out := &blockedOutput{release: make(chan struct{})}
+		w := logwriter.New(out, logwriter.Config{Bytes: 10_000})
+		long := strings.Repeat("x", 999) + "\n"
+		for range 100 {
+			fmt.Fprint(w, long)
+		}
+		close(out.release)
+		synctest.Wait()
+		fmt.Fprint(w, long)
+		w.Close()
+		o.Expect(strings.Count(out.buf.String(), long)).To(Equal(11), "ten, and one when there is room again")
+		o.Expect(out.buf.String()).To(ContainSubstring(`"lines":90`))
+	})
+}
+
 func TestLimitOfSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := NewWithT(t)
