intake: one lock for the check and the count of handled requests

Cause: found by reading. Two requests that were checked at the same moment could both be handled when one place was left. And a stand-in runner refused bodies that are too large as if there were no room for them now.

Change: the check and the change of the phase are one step. The runner answers 413 and 400 as well. Socket options are set in one place, and the budget of heads comes with the table.

Ruled out: a bound on requests that are checked before their body is read; that check only saves reading, the one before the handler decides.

Run: tests of internal/intake with the race detector, on one and four processors.

--- a/cmd/carawayshift/flood/flood_test.go
+++ b/cmd/carawayshift/flood/flood_test.go
@@ -9,8 +9,8 @@
 //
 //	go test -count=1 ./cmd/carawayshift/flood
 //
-// A test checks that the process lives, that its memory and its descriptors stay
-// under the limits of its settings and that each of its listeners answers one
+// A test checks that the process lives, that its memory with the queues of its sockets
+// and its descriptors stay under the limits of its settings and that each of its listeners answers one
 // ordinary request while the crowd is connected. It checks no times and no share of
 // served requests.
 package flood_test
--- a/cmd/carawayshift/flood/standin_test.go
+++ b/cmd/carawayshift/flood/standin_test.go
@@ -5,6 +5,9 @@
 	"testing"
 )
 
+// standInMemory is the memory limit of a stand-in in MiB.
+const standInMemory = 128
+
 // standIn starts a stand-in, which answers the ordinary request without any host.
 func (d *deployment) standIn(what, method, path, body string, args ...string) *process {
 	ip := d.network.IP(2, 1)
@@ -15,9 +18,6 @@
 	return p
 }
 
-// standInMemory is the memory limit of a stand-in in MiB.
-const standInMemory = 128
-
 // Guards against the same on the listeners of the stand-ins, which share the machine
 // with the hosts.
 func TestStandIns(t *testing.T) {
--- a/cmd/carawayshift/standin.go
+++ b/cmd/carawayshift/standin.go
@@ -25,6 +25,9 @@
 	Agent  standinAgentCmd  `cmd:"" help:"A runner that executes tasks of batches. Example: carawayshift standin agent --id i-1 --zone belmont --rack r1 --service fit --listen 127.0.0.1:9201 --control 127.0.1.1:8526"`
 }
 
+// standinHeaderTimeout bounds the time for the headers of a request to a stand-in.
+const standinHeaderTimeout = time.Second
+
 // standinLimits bounds what clients can make a stand-in hold.
 type standinLimits struct {
 	Limit int `help:"Memory of the process in MB. The limits of bodies and connections are parts of it." default:"128"`
@@ -84,9 +87,6 @@
 	return srv
 }
 
-// standinHeaderTimeout bounds the time for the headers of a request to a stand-in.
-const standinHeaderTimeout = time.Second
-
 // Timing of the stand-in agent: how long a stop takes, how long a member of a
 // gang waits for the others, and the maximum lease.
 const (
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -6,15 +6,17 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"carawayshift.example/carawayshift/pkg/bytebudget"
 )
 
 // settleTime is how long a connection may wait, send or receive before it is closed in
 // favour of a new one ahead of the connections between two requests.
 const settleTime = time.Second
 
-// idleConnectionsPart is the part of the connections of a listener whose requests are
-// not handled.
-const idleConnectionsPart = 4
+// sparePart is the part of the connections of a listener on which no request is handled,
+// so that there is always one that can be closed for a new one.
+const sparePart = 4
 
 type connectionKey struct{}
 
@@ -51,21 +53,24 @@
 
 // handling reports whether the request may be handled. If not, too many others are.
 func (c *connection) handling() bool {
-	if c.busy() {
+	if c == nil {
+		return true // a request without a server, in tests of handlers
+	}
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.phase == handlingPhase {
+		return true
+	}
+	if c.table.handled >= c.table.maxHandled() {
 		return false
 	}
-	c.enter(handlingPhase)
+	c.table.setPhase(c, handlingPhase)
 	return true
 }
 
 // busy reports whether as many requests of the listener are handled as may be.
 func (c *connection) busy() bool {
-	if c == nil {
-		return false
-	}
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	return c.phase != handlingPhase && c.table.handled >= c.table.maxHandled()
+	return c != nil && c.table.load() >= 1
 }
 
 func (c *connection) enter(p phase) {
@@ -104,6 +109,8 @@
 type table struct {
 	limit   int
 	buffers *bufferPool
+	// heads is the budget for the heads of requests.
+	heads *bytebudget.Budget
 	// closed is called after a connection was closed by this package, refused after a
 	// request was refused before its head was complete.
 	closed, refused func(reason string)
@@ -118,9 +125,8 @@
 	return &table{limit: max(limit, 1), buffers: buffers, closed: closed, open: map[net.Conn]*connection{}}
 }
 
-// maxHandled is the number of connections whose requests may be handled at the same time.
-// The others take new connections, so that what can't be handled is refused at once.
-func (t *table) maxHandled() int { return max(t.limit-t.limit/idleConnectionsPart, 1) }
+// maxHandled is the number of requests that may be handled at the same time.
+func (t *table) maxHandled() int { return max(t.limit-t.limit/sparePart, 1) }
 
 // setPhase changes the phase of a connection. The mutex is held.
 func (t *table) setPhase(c *connection, p phase) {
@@ -154,7 +160,8 @@
 // add records a new connection. If there are too many, it closes another one, or the
 // new one if all others are being handled. It calls cancel for one that it closes.
 func (t *table) add(conn net.Conn, cancel context.CancelFunc) *connection {
-	c := &connection{conn: conn, table: t, cancel: cancel, since: time.Now(), head: &head{}}
+	c := &connection{conn: conn, table: t, cancel: cancel, since: time.Now()}
+	c.head = &head{budget: t.heads, evict: c.close}
 	t.mu.Lock()
 	var victim *connection
 	reset := true
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,6 @@
 // Package intake limits what the clients of a host's HTTP listeners can make it hold:
-// the bytes of their bodies, the time that they take, and their connections.
+// the bytes of their heads and bodies, the time that they take, their connections, and
+// what waits in the queues of the sockets.
 //
 // # Usage
 //
@@ -71,7 +72,8 @@
 	Body int64
 	// Opaque reports that the body of a request is not decoded; nil means that all are.
 	Opaque func(*http.Request) bool
-	// Connections is the largest number of open connections.
+	// Connections is the largest number of open connections. Requests are handled on
+	// three quarters of them.
 	Connections int
 	// IdleTimeout closes connections between two requests, and HeaderTimeout those that
 	// don't complete the headers of a request.
@@ -100,6 +102,7 @@
 // Server returns a server for one listener.
 func (in *Intake) Server(h http.Handler, l Listener) *http.Server {
 	t := newTable(l.Connections, in.buffers, func(reason string) { in.count("closed", l.Name, reason) })
+	t.heads = in.budget
 	t.refused = func(reason string) { in.count("refused", l.Name, reason) }
 	if l.Body > 0 {
 		in.mu.Lock()
@@ -115,7 +118,7 @@
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			ctx, cancel := context.WithCancel(ctx)
 			c := t.add(conn, cancel)
-			c.ctx, c.head = ctx, &head{budget: in.budget, evict: c.close}
+			c.ctx = ctx
 			if s, ok := conn.(*socket); ok {
 				s.c = c
 			}
@@ -227,6 +230,7 @@
 	body, err := readAll(r.Body, bodyReader{
 		length: r.ContentLength, limit: h.listener.Body + 1,
 		reserve: func(n int64) error {
+			// n is twice the size of the buffer.
 			if n > 2*receiveBuffer {
 				c.receiveMuch()
 			}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -34,7 +34,7 @@
 
 // Limits holds the limits of one process.
 type Limits struct {
-	// Bodies is the budget of bytes for bodies.
+	// Bodies is the budget of bytes for bodies and long heads.
 	Bodies int64
 	// Buffers is the number of bytes that the kernel may queue in large buffers of
 	// sockets.
--- a/internal/intake/sockets.go
+++ b/internal/intake/sockets.go
@@ -69,33 +69,31 @@
 		{unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer},
 		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())},
 	})
-	if err != nil {
-		return err
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "intake.limitSockets")
-	}
 	// On a socket that listens already, this changes the length of the queue.
-	var failed error
-	err = raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), backlog) })
-	return errors.Wrap(errors.CombineErrors(err, failed), "intake.limitSockets")
+	return errors.CombineErrors(err, control(socket, func(fd int) error { return unix.Listen(fd, backlog) }))
 }
 
 type option struct{ level, name, value int }
 
+// setOptions sets all options, also after one has failed.
 func setOptions(socket syscall.Conn, list []option) error {
+	return control(socket, func(fd int) (err error) {
+		for _, o := range list {
+			err = errors.CombineErrors(err, unix.SetsockoptInt(fd, o.level, o.name, o.value))
+		}
+		return err
+	})
+}
+
+// control calls f with the descriptor of a socket.
+func control(socket syscall.Conn, f func(fd int) error) error {
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return errors.Wrap(err, "intake.setOptions")
+		return errors.Wrap(err, "intake.control")
 	}
 	var failed error
-	err = raw.Control(func(fd uintptr) {
-		for _, o := range list {
-			failed = errors.CombineErrors(failed, unix.SetsockoptInt(int(fd), o.level, o.name, o.value))
-		}
-	})
-	return errors.Wrap(errors.CombineErrors(err, failed), "intake.setOptions")
+	err = raw.Control(func(fd uintptr) { failed = f(int(fd)) })
+	return errors.Wrap(errors.CombineErrors(err, failed), "intake.control")
 }
 
 // setReceiveBuffer enlarges the receive buffer of a connection. The window is limited to
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -23,6 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"carawayshift.example/carawayshift"
 	"carawayshift.example/carawayshift/internal/intake"
 )
 
@@ -111,12 +112,22 @@
 	return in.Server(h, intake.Listener{
 		Name: "runner", Body: MaxBody, Opaque: func(*http.Request) bool { return true },
 		Connections: in.Limits().Connections, HeaderTimeout: shutdownTimeout,
-		Refuse: func(w http.ResponseWriter, _ *http.Request, err error) {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		},
+		Refuse: refuse,
 	})
 }
 
+// refuse writes the response to a request that was not read.
+func refuse(w http.ResponseWriter, _ *http.Request, err error) {
+	status := http.StatusBadRequest
+	switch carawayshift.KindOf(err) {
+	case carawayshift.NotRun:
+		status = http.StatusServiceUnavailable
+	case carawayshift.TooLarge:
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, err.Error(), status)
+}
+
 func (r *Runner) serveConnections(l net.Listener) error {
 	if r.cfg.Intake == nil {
 		return r.server.Serve(l)
