--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -128,11 +128,10 @@
 	}
 }
 
-// Serve serves the connections of ln, which Listen has opened, with a server that Server
-// has returned, until it is closed, like srv.Serve.
+// Serve serves the connections of ln, which Listen has opened, until it is closed, like
+// srv.Serve.
 func (in *Intake) Serve(srv *http.Server, ln net.Listener) error {
-	connections := srv.Handler.(*handler).listener.Connections
-	if err := limitSockets(ln, connections, in.cfg.Limits.pieceTime()); err != nil {
+	if err := limitSockets(ln, in.cfg.Limits.pieceTime()); err != nil {
 		in.cfg.Log.WithError(err).Warn("the buffers of connections can't be limited; the kernel's settings bound them")
 	}
 	return srv.Serve(listener{ln})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -265,7 +265,7 @@
 	ln, err := Listen("127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = ln.Close() }()
-	g.Expect(limitSockets(ln, 3, time.Second)).To(Succeed())
+	g.Expect(limitSockets(ln, time.Second)).To(Succeed())
 	table := newTable(3, newBufferPool(2*2*largeBuffer), func(string) {})
 	var open []*connection
 	for range 3 {
--- a/internal/intake/sockets.go
+++ b/internal/intake/sockets.go
@@ -12,12 +12,10 @@
 )
 
 const (
-	// waitingBuffer is the receive buffer of a connection that has not been accepted. As
-	// many may wait as a listener may have open, but at least minBacklog and at most
-	// maxBacklog.
+	// waitingBuffer is the receive buffer of a connection that has not been accepted, and
+	// backlog the number of those of one listener.
 	waitingBuffer = 2 << 10
-	minBacklog    = 512
-	maxBacklog    = 2048
+	backlog       = 2048
 	// receiveBuffer and sendBuffer are the buffers of an accepted connection, in bytes.
 	// The kernel queues up to twice as many.
 	receiveBuffer = 8 << 10
@@ -61,7 +59,7 @@
 // queues count toward the memory of the host. Set on the listener, the sizes hold from
 // the first packet. Timeout ends connections, also closed ones, whose peer does not take
 // what is queued for it.
-func limitSockets(ln net.Listener, connections int, timeout time.Duration) error {
+func limitSockets(ln net.Listener, timeout time.Duration) error {
 	socket, ok := ln.(syscall.Conn)
 	if !ok {
 		return nil // a listener of a test
@@ -71,7 +69,6 @@
 		{unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer},
 		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())},
 	})
-	backlog := min(max(connections, minBacklog), maxBacklog)
 	// On a socket that listens already, this changes the length of the queue.
 	return errors.CombineErrors(err, control(socket, func(fd int) error { return unix.Listen(fd, backlog) }))
 }
