--- a/review/third/lost.go
+++ b/review/third/lost.go
@@ -81,7 +81,7 @@
 		case lasting:
 			return Need{CPU: 4000, MemMB: 1024, GPU: 1}
 		case work:
-			return Need{CPU: 13000, MemMB: 26000, GPU: 8, Work: 11 * time.Second}
+			return Need{CPU: 13000, MemMB: 26000, GPU: 8, Work: 30 * time.Second}
 		}
 		return Need{CPU: 13000, MemMB: 26000, GPU: 8, Work: 11 * time.Second, Gang: 7}
 	})
@@ -102,7 +102,7 @@
 		}
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if err := d.submit("key-troupe", "/render/", work, `{"spec":"work","steps":[{"count":1,"cpu":13000,"mem_mb":26000,"gpu":8,"est_runtime_ms":11000,"constraints":"r-2"}]}`); err != nil {
+	if err := d.submit("key-troupe", "/render/", work, `{"spec":"work","steps":[{"count":1,"cpu":13000,"mem_mb":26000,"gpu":8,"est_runtime_ms":30000,"constraints":"r-2"}]}`); err != nil {
 		return nil, err
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -112,7 +112,7 @@
 	// The time on end in which the task has no run and two runners of its rack are idle.
 	var absent time.Duration
 	var since time.Time
-	for range 250 {
+	for range 400 {
 		time.Sleep(100 * time.Millisecond)
 		idle, runs := 0, 0
 		for _, r := range p.runners {
--- a/review/third/twice.go
+++ b/review/third/twice.go
@@ -6,11 +6,15 @@
 	"time"
 )
 
-func init() { plays["twice"] = play{mokojumbie, twice} }
+func init() {
+	plays["twice"] = play{mokojumbie, func(d *Deployment) (verdict, error) { return twice(d, true) }}
+	// No case: the same with a runner that crashes instead of leaving.
+	plays["twice-crash"] = play{mokojumbie, func(d *Deployment) (verdict, error) { return twice(d, false) }}
+}
 
 // twice: the first start order of a job's only task gets no answer and is carried out 9 s
 // later. Meanwhile its runner drains, leaves, and starts again under its id.
-func twice(d *Deployment) (verdict, error) {
+func twice(d *Deployment, leaves bool) (verdict, error) {
 	const job = "5c0e7a21d94b36f8"
 	if err := prepare(d, 1); err != nil {
 		return nil, err
@@ -45,7 +49,12 @@
 		return nil, fmt.Errorf("no start was ordered")
 	}
 	time.Sleep(time.Second)
-	first.drainAndLeave(3500 * time.Millisecond)
+	if leaves {
+		first.drainAndLeave(3500 * time.Millisecond)
+	} else {
+		time.Sleep(3500 * time.Millisecond)
+		first.crash("crashes")
+	}
 	time.Sleep(500 * time.Millisecond)
 	first.begin()
 	time.Sleep(18 * time.Second)
