review: the records hold every call and report of the runners

Cause: record.txt lacked the answered calls of the control hosts and the reports. Change: the stand-in records each with its answer.

--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -191,9 +191,12 @@
 		for range hosts {
 			b, leaving := r.report()
 			resp, err := c.Post("http://"+hosts[at]+"/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(b))
-			if err == nil {
+			if err != nil {
+				r.p.d.record.add("runner %s: report %s not answered by %s", r.id, b, hosts[at])
+			} else {
 				_, _ = io.Copy(io.Discard, resp.Body)
 				resp.Body.Close()
+				r.p.d.record.add("runner %s: report %s answered %d by %s", r.id, b, resp.StatusCode, hosts[at])
 				if resp.StatusCode/100 == 2 {
 					if leaving {
 						r.mu.Lock()
@@ -338,6 +341,7 @@
 		}
 	}
 	status, reply := r.execute(req.URL.Path, req.Header.Get("Expect-Instance"), b, req.Context().Done())
+	r.p.d.record.add("runner %s: %s %s answered %d %s", r.id, req.URL.Path, text, status, reply)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(reply)
