dispatcher: call each runner as soon as its session is opened

A start got no answer, its runner drained, left in good order and came back under its id, and the late start was executed by the next incarnation, while the task ran elsewhere.

Cause: a runner refuses an earlier call only once it has executed one with a higher fencing token. A session that a report opened counted as called, and without runs no renewal was due, so that the next incarnation accepted any token. The same held for every session of a new leader.

Ruled out: calling each new session at once and nothing more. It refuses the late start, but two cases of TestReportsOfOthersTakeNoRunnersPlace fail: the status that the first call brings comes before a plan has assigned the runs of earlier terms, and sound runs are stopped as unexpected.

Change: each session renews until its runner has answered. A status is compared with the session's runs only once the runs of earlier terms are assigned; an earlier one only raises the token. So neither a long plan nor a long commit delays the first call.

Failed before: TestReturningRunnerRefusesEarlierStarts, all 5 cases ("run 1 started, active runs: 2" at 6.015 s).

--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -378,6 +378,9 @@
 			t.enqueueEnd(carawayshift.RunEnd{Task: o.Task, Run: o.Run, Outcome: carawayshift.RunLost, Checkpoint: o.Checkpoint}, nil)
 		}
 	}
+	for _, s := range t.sessions {
+		s.endAdoption()
+	}
 	return adopted
 }
 
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -76,10 +76,10 @@
 
 // nextRenewal reports whether a renewal is due: to extend the leases of confirmed runs,
 // to notice that the runner of a run that is being stopped is gone, to acknowledge
-// committed ends, because the runner did not respond, to make a restarted runner refuse
-// earlier calls, or to learn whether it has the adopted runs. wait is how long the runner
-// may delay its response until a run ends. A renewal that is due counts as in flight from
-// here on.
+// committed ends, because the runner did not respond, to make a runner that this session
+// has not called yet refuse earlier calls, or to learn which runs it has. wait is how long
+// the runner may delay its response until a run ends. A renewal that is due counts as in
+// flight from here on.
 func (s *session) nextRenewal() (due bool, wait time.Duration) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -91,7 +91,7 @@
 	if busy && !undecided {
 		wait = renewWait
 	}
-	s.renewing = busy || undecided || s.committed > s.acknowledged || s.unanswered || !s.contacted
+	s.renewing = busy || undecided || s.committed > s.acknowledged || s.unanswered || !s.contacted || s.adoptionDone && !s.reconciled
 	return s.renewing, wait
 }
 
@@ -106,7 +106,7 @@
 func (s *session) renew(wait time.Duration) (carawayshift.AgentStatus, error) {
 	s.t.mu.Lock()
 	call, seen, until := s.call(), s.endsToAcknowledge(), s.extendLease()
-	if s.committed > max(s.acknowledged, seen) || !s.contacted {
+	if s.committed > max(s.acknowledged, seen) || !s.contacted || !s.reconciled {
 		wait = 0
 	}
 	if s.needsThrottle() {
@@ -202,13 +202,25 @@
 // handleStatus processes a runner's status: new ends are committed, runs that
 // it does not list are recorded as lost, and runs that it should not have are
 // stopped. The channel is closed when the new ends are committed; it is nil if there
-// are none.
+// are none. A status is ignored while the session does not know the runs of earlier
+// terms, which would be stopped; the runner is asked again once it does.
 func (s *session) handleStatus(st carawayshift.AgentStatus, sent time.Time) <-chan struct{} {
+	if !s.beginReconciliation() {
+		return nil
+	}
 	committed := s.enqueueNewEnds(st.Ended)
 	s.reconcile(st, sent)
 	return committed
 }
 
+// beginReconciliation reports whether a status can be compared with the session's runs.
+func (s *session) beginReconciliation() bool {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	s.reconciled = s.adoptionDone
+	return s.reconciled
+}
+
 // enqueueNewEnds queues the ends that were not received before. The channel is
 // closed when all of them are committed; it is nil if there are none.
 func (s *session) enqueueNewEnds(list []carawayshift.EndReport) <-chan struct{} {
--- a/internal/dispatcher/runners.go
+++ b/internal/dispatcher/runners.go
@@ -163,8 +163,7 @@
 	old.cancel()
 	t.removeSession(old)
 	s := newSession(t, a, received)
-	s.contacted = false
-	s.signal()
+	s.adoptionDone = old.adoptionDone
 	t.sessions[a.ID] = s
 	for task, r := range old.runs {
 		if r.ended {
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -47,9 +47,12 @@
 	// unconfirmed is true when a call got no response and no renewal has
 	// succeeded since.
 	unconfirmed bool
-	// contacted is false until the runner has answered a renewal, for a session that has
-	// replaced that of an earlier incarnation.
+	// contacted is true once the runner has answered a renewal: since then it refuses calls
+	// that were sent before the session, also by earlier leaders.
 	contacted bool
+	// adoptionDone is true once the session has adopted the runs of earlier terms on its
+	// runner, reconciled once a status has been compared with the session's runs.
+	adoptionDone, reconciled bool
 	// answered is when the runner last answered a renewal.
 	answered time.Time
 	// fence is the fencing token of the session's calls.
@@ -109,7 +112,7 @@
 func newSession(t *leaderTerm, a carawayshift.Agent, received time.Time) *session {
 	s := &session{
 		t: t, agent: a, runs: map[carawayshift.TaskName]*run{}, wake: make(chan struct{}, 1),
-		log: t.log.WithField("runner", a.ID), fence: t.nextFence(), contacted: true,
+		log: t.log.WithField("runner", a.ID), fence: t.nextFence(),
 	}
 	s.ctx, s.cancel = context.WithCancel(t.ctx)
 	s.update(a, received)
@@ -266,6 +269,15 @@
 	s.signal()
 }
 
+// endAdoption records that the session has adopted the runs of earlier terms. From then on
+// statuses are compared with its runs. The caller holds s.t.mu.
+func (s *session) endAdoption() {
+	if !s.adoptionDone {
+		s.adoptionDone = true
+		s.signal()
+	}
+}
+
 func statusLists(st carawayshift.AgentStatus, task carawayshift.TaskName, n int) bool {
 	for _, r := range st.Running {
 		if r.Task == task && r.Run == n {
