dispatcher: stop an unexpected run until it is gone

A late start that the next incarnation of a runner executes before its first call begins a run that no table has.

Cause: the stop was sent once, and the next renewal was to list the run again. A session without runs has no next renewal. Plans count only the runs of the table.

Change: while a status lists a run that the session does not have, renewals go on and each repeats the stop, and the runner gets no new work.

Failed before: TestUnexpectedRunIsStoppedUntilItIsGone (the run was at work 2 s after the runner was reached again), TestUnexpectedRunTakesRoomUntilItIsGone (4 starts beside it). Both pass after it, as do the other tests of the package.

--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -75,15 +75,15 @@
 }
 
 // nextRenewal reports whether a renewal is due: to extend the leases of confirmed runs,
-// to notice that the runner of a run that is being stopped is gone, to acknowledge
-// committed ends, because the runner did not respond, to make a runner that this session
+// to notice that the runner of a run that is being stopped is gone, to see that an
+// unexpected run ends, to acknowledge committed ends, because the runner did not respond, to make a runner that this session
 // has not called yet refuse earlier calls, or to learn which runs it has. wait is how long
 // the runner may delay its response until a run ends. A renewal that is due counts as in
 // flight from here on.
 func (s *session) nextRenewal() (due bool, wait time.Duration) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	busy, undecided := false, false
+	busy, undecided := s.unexpected, false
 	for _, r := range s.runs {
 		busy = busy || !r.confirmed.IsZero() || r.stopping && !r.ended
 		undecided = undecided || r.undecided()
@@ -112,6 +112,9 @@
 	if s.needsThrottle() {
 		wait = min(wait, throttleInterval)
 	}
+	if s.unexpected {
+		wait = min(wait, s.t.d.cfg.Timing.Stop)
+	}
 	for _, r := range s.runs {
 		// Stopping runs end soon, so the runner should respond sooner.
 		if r.stopping {
@@ -291,6 +294,7 @@
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
 	listed := map[carawayshift.TaskName]int{}
+	s.unexpected = false
 	for _, r := range st.Running {
 		listed[r.Task] = r.Run
 		if known := s.find(r.Task, r.Run); known != nil {
@@ -303,6 +307,7 @@
 			s.observePace(r.Task, known, r.Percent, false)
 			continue
 		}
+		s.unexpected = true
 		s.stopUnexpected(r)
 	}
 	s.adjustThrottle(st)
--- a/internal/dispatcher/returning_test.go
+++ b/internal/dispatcher/returning_test.go
@@ -91,3 +91,65 @@
 	time.Sleep(p.time)
 	return p.Dispatcher.Dispatch(in)
 }
+
+// Guards against a run that goes on although no table has it: the runner's next incarnation
+// has executed a late order before it was called, and the stop of that run gets no answer.
+func TestUnexpectedRunIsStoppedUntilItIsGone(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		task := r.returnWithLateRun("i-0")
+		r.net.setRenewDelay("i-0", 50*time.Millisecond)
+		o.Expect(r.leader().Report(r.firstReport("i-0"))).To(Succeed())
+		time.Sleep(20 * time.Millisecond)
+		r.net.setCut("i-0", true) // the status arrives, the stop does not
+		time.Sleep(time.Second)
+		r.net.setCut("i-0", false)
+		time.Sleep(2 * time.Second)
+		o.Expect(r.outcomes(task)).To(Equal([]carawayshift.RunOutcome{carawayshift.RunStopped, carawayshift.RunStopped}))
+	})
+}
+
+// Guards against starts on a runner while an unexpected run still takes its room.
+func TestUnexpectedRunTakesRoomUntilItIsGone(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.returnWithLateRun("i-0")
+		o.Expect(r.leader().Report(r.firstReport("i-0"))).To(Succeed())
+		time.Sleep(10 * time.Millisecond)
+		r.submit("c", single(4)) // takes all accelerators
+		time.Sleep(100 * time.Millisecond)
+		_, open := r.progress("c")
+		o.Expect(open).To(BeZero())
+		time.Sleep(time.Second)
+		_, open = r.progress("c")
+		o.Expect(open).To(Equal(4))
+	})
+}
+
+// returnWithLateRun lets a runner leave and start again under its id, and execute the start
+// of a task, whose batch was cancelled, before it reports itself.
+func (r *rig) returnWithLateRun(id string) (task carawayshift.TaskName) {
+	r.takes = func(carawayshift.TaskName) time.Duration { return 6 * time.Second }
+	time.Sleep(2 * time.Second)
+	r.mu.Lock()
+	r.net.startFates = []fate{late}
+	r.mu.Unlock()
+	r.submit("b", single(1))
+	time.Sleep(time.Second)
+	r.cancel("b")
+	time.Sleep(time.Second)
+	r.setMute(id)
+	leaving := r.agents[id].Report()
+	leaving.Sequence, leaving.Leaving = 99, true
+	_ = r.leader().Report(leaving)
+	_ = r.leader().Leave(id, leaving.Incarnation)
+	r.agents[id].Crash()
+	time.Sleep(lateBy - 1900*time.Millisecond)
+	return carawayshift.TaskName{Batch: "b"}
+}
+
+func (r *rig) firstReport(id string) carawayshift.Agent {
+	a := r.agents[id].Report()
+	a.Sequence = 1
+	return a
+}
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -53,6 +53,8 @@
 	// adoptionDone is true once the session has adopted the runs of earlier terms on its
 	// runner, reconciled once a status has been compared with the session's runs.
 	adoptionDone, reconciled bool
+	// unexpected is true while the runner lists a run that the session does not have.
+	unexpected bool
 	// answered is when the runner last answered a renewal.
 	answered time.Time
 	// fence is the fencing token of the session's calls.
@@ -220,7 +222,7 @@
 // failures of tasks. The caller holds s.t.mu.
 func (s *session) reachable(now time.Time) bool {
 	fresh := now.Sub(s.lastReport) < staleAfterHeartbeats*s.t.d.cfg.Timing.Heartbeat
-	return fresh && !s.agent.Leaving && !s.exited && now.After(s.avoidUntil) && !s.unanswered && !s.unconfirmed
+	return fresh && !s.agent.Leaving && !s.exited && now.After(s.avoidUntil) && !s.unanswered && !s.unconfirmed && !s.unexpected
 }
 
 func (s *session) signal() {
