dispatcher: make a runner refuse a late acknowledgement after a later call

A start that is sent while the renewal is on its way has the same fencing token. The next incarnation executes the start, finishes the run, executes the renewal late and forgets that end. The run counts as missing, and the task runs again.

Change: the calls after one that acknowledges ends have a higher token, so that a runner that has executed one of them refuses the acknowledgement. A call that a later one of the session has overtaken is refused as well; it had no effect and is sent again at once instead of counting as a refusal by an unresponsive runner (event "overtaken").

Failed before: TestLateAcknowledgementMeetsNoLaterStart ("Expected 2 to equal 1" starts). It passes now.

Not prevented: a start that was on its way before the acknowledgement, if one incarnation executes both late, in this order, before any other call.

--- a/internal/dispatcher/incarnation_test.go
+++ b/internal/dispatcher/incarnation_test.go
@@ -160,3 +160,39 @@
 		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
 	})
 }
+
+// Guards against a finished run that nobody learns of: a renewal that acknowledges an end of
+// the earlier incarnation is executed late by the next one, after it has executed a start
+// that was sent while the renewal was on its way. It forgets the end of that run.
+func TestLateAcknowledgementMeetsNoLaterStart(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 2 * time.Second }
+		time.Sleep(2 * time.Second)
+		r.submit("a", single(1))
+		for len(r.outcomes(carawayshift.TaskName{Batch: "a"})) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.mu.Lock()
+		r.net.renewFates, r.net.fixedDelay = []fate{late}, true
+		r.net.startFates = []fate{answerLost}
+		r.mu.Unlock()
+		time.Sleep(20 * time.Millisecond) // the end is committed, and its acknowledgement sent
+		r.mu.Lock()
+		o.Expect(r.net.renewFates).To(BeEmpty())
+		r.mu.Unlock()
+		r.setMute("i-0")
+		r.agents["i-0"].Crash()
+		r.submit("b", single(1))
+		time.Sleep(100 * time.Millisecond)
+		r.net.setCut("i-0", true)
+		time.Sleep(lateBy + time.Second)
+		r.net.setCut("i-0", false)
+		r.mu.Lock()
+		delete(r.mute, "i-0")
+		r.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+		o.Expect(r.startsOf(carawayshift.TaskName{Batch: "b"})).To(Equal(1))
+	})
+}
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -102,10 +102,12 @@
 }
 
 // renew renews the leases and acknowledges the committed ends. If another incarnation
-// answers, it replaces the session and returns an error.
-func (s *session) renew(wait time.Duration) (carawayshift.AgentStatus, error) {
+// answers, it replaces the session and returns an error. An acknowledgement that another
+// incarnation executes late would make it forget the end of a run that it has started since,
+// so that a later call makes the runner refuse it.
+func (s *session) renew(wait time.Duration) (st carawayshift.AgentStatus, err error) {
 	s.t.mu.Lock()
-	call, seen, until := s.call(), s.endsToAcknowledge(), s.extendLease()
+	seen, until, incarnation := s.endsToAcknowledge(), s.extendLease(), s.agent.Incarnation
 	if s.committed > max(s.acknowledged, seen) || !s.contacted || !s.reconciled {
 		wait = 0
 	}
@@ -128,11 +130,14 @@
 	ctx, cancel := context.WithTimeout(s.ctx, wait+callTimeout)
 	defer cancel()
 	sent := time.Now()
-	st, err := s.t.client.Renew(ctx, call, seen, until, wait)
+	err = s.send(seen > 0, func(call carawayshift.AgentCall) error {
+		st, err = s.t.client.Renew(ctx, call, seen, until, wait)
+		return err
+	})
 	if err != nil {
 		return st, err
 	}
-	if st.Incarnation != 0 && call.Agent.Incarnation != 0 && st.Incarnation != call.Agent.Incarnation {
+	if st.Incarnation != 0 && incarnation != 0 && st.Incarnation != incarnation {
 		s.replaceIncarnation(st)
 		return st, errors.Newf("session.renew: the runner has restarted, life %d", st.Incarnation)
 	}
@@ -362,11 +367,8 @@
 // holds s.t.mu.
 func (s *session) stopUnexpected(r carawayshift.RunReport) {
 	s.log.WithFields(logrus.Fields{"event": "run unexpected", "task": r.Task.String(), "run": r.Run}).Warn("stopping a run that a delayed request started")
-	call := s.call()
 	s.t.spawn(func() {
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-		defer cancel()
-		if _, err := s.t.client.Stop(ctx, call, r.Task, r.Run); err != nil {
+		if _, err := s.callStop(r.Task, r.Run); err != nil {
 			s.handleCallError(err) // the next renewal lists the run again
 		}
 	})
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -395,7 +395,7 @@
 	return st, err
 }
 
-func (s *session) callStart(st carawayshift.RunStart) (time.Duration, error) {
+func (s *session) callStart(st carawayshift.RunStart) (clock time.Duration, err error) {
 	s.t.mu.Lock()
 	r := s.runs[st.Task]
 	o := carawayshift.RunRequest{Task: st.Task, Run: st.Run, Spec: s.t.d.cfg.Table.Spec(st.Task.Batch), Until: s.extendLease()}
@@ -403,17 +403,57 @@
 		o.Checkpoint = r.checkpoint
 	}
 	o.Ticket = s.t.ticketFor(st.Task, s.agent.ID)
-	call := s.call()
 	s.t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	return s.t.client.Start(ctx, call, o)
+	err = s.send(false, func(call carawayshift.AgentCall) error {
+		clock, err = s.t.client.Start(ctx, call, o)
+		return err
+	})
+	return clock, err
+}
+
+// maxOvertaken is how often a call is sent again because a later one has overtaken it.
+const maxOvertaken = 3
+
+// send makes a call with the session's fencing token. If last is true, the calls that are
+// sent after it have a higher one: should it be executed late, then only by a runner that
+// has executed none of them. A call that such a later one has overtaken is refused and had
+// no effect; it is sent again.
+func (s *session) send(last bool, do func(call carawayshift.AgentCall) error) error {
+	for attempt := 0; ; attempt++ {
+		call := s.nextCall(last)
+		err := do(call)
+		if attempt == maxOvertaken || !s.overtaken(call, err) {
+			return err
+		}
+		s.t.d.cfg.Metrics.GetOrCreateCounter("carawayshift_calls_overtaken_total").Inc()
+		s.log.WithField("event", "overtaken").Info("the runner has executed a later call; sending this one again")
+	}
 }
 
-// call returns the common part of a call to the runner. The caller holds
-// s.t.mu.
-func (s *session) call() carawayshift.AgentCall {
-	return carawayshift.AgentCall{Agent: s.agent, Fence: s.fence}
+// nextCall returns the common part of a call to the runner, and raises the fencing token of
+// the calls after it if last is true.
+func (s *session) nextCall(last bool) carawayshift.AgentCall {
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	call := carawayshift.AgentCall{Agent: s.agent, Fence: s.fence}
+	if last {
+		s.raiseFence()
+	}
+	return call
+}
+
+// overtaken reports whether the runner refused a call since it had executed a later one of
+// this session.
+func (s *session) overtaken(call carawayshift.AgentCall, err error) bool {
+	var refusal *carawayshift.RefusalError
+	if !errors.As(err, &refusal) || refusal.Reason != carawayshift.RefusedFence {
+		return false
+	}
+	s.t.mu.Lock()
+	defer s.t.mu.Unlock()
+	return s.ctx.Err() == nil && call.Fence < s.fence
 }
 
 func (s *session) startConfirmed(st carawayshift.RunStart, clock time.Duration) {
@@ -509,15 +549,13 @@
 	s.t.mu.Unlock()
 	for s.ctx.Err() == nil {
 		s.t.mu.Lock()
-		call, settled := s.call(), s.runs[task] != r && !r.confirmed.IsZero()
+		settled := s.runs[task] != r && !r.confirmed.IsZero()
 		s.t.mu.Unlock()
 		if settled {
 			return
 		}
-		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		sent := time.Now()
-		clock, err := s.t.client.Stop(ctx, call, task, n)
-		cancel()
+		clock, err := s.callStop(task, n)
 		if err == nil && s.isReplaced(clock, sent) {
 			return
 		}
@@ -536,6 +574,16 @@
 	}
 }
 
+func (s *session) callStop(task carawayshift.TaskName, n int) (clock time.Duration, err error) {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	err = s.send(false, func(call carawayshift.AgentCall) error {
+		clock, err = s.t.client.Stop(ctx, call, task, n)
+		return err
+	})
+	return clock, err
+}
+
 // handleCallError handles the refusals that end the session or the term, and
 // reports whether either is over. A runner that refuses the fencing token of a host that
 // may still lead has executed a later call of it, or its token is wrong: it gets no new
--- a/internal/dispatcher/throttle.go
+++ b/internal/dispatcher/throttle.go
@@ -56,12 +56,14 @@
 // sendThrottle asks the runner to limit a task to percent. The caller holds
 // s.t.mu.
 func (s *session) sendThrottle(task carawayshift.TaskName, run, percent int, latencyRatio float64) {
-	call := s.call()
 	s.log.WithFields(logrus.Fields{"event": "paced", "task": task.String(), "run": run, "percent": percent, "worst": latencyRatio}).Info("throttling changed")
 	s.t.spawn(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 		defer cancel()
-		if err := s.t.client.Throttle(ctx, call, task, run, percent); err != nil {
+		err := s.send(false, func(call carawayshift.AgentCall) error {
+			return s.t.client.Throttle(ctx, call, task, run, percent)
+		})
+		if err != nil {
 			s.log.WithError(err).WithField("event", "order failed").Warn("throttle request not confirmed")
 			s.resetThrottle(task, run)
 		}
