dispatcher: make a runner refuse a throttle request that got no answer

Cause: a request to speed a best-effort task up to 80 percent got no answer and was executed 8 s later, after one for 0 percent. Calls without an answer raise the fencing token, so that the runner refuses them later, as docs/design.md says; throttle requests did not. The leader took the speed to be 0 and had nothing to change.

Change: a throttle request that fails raises the token.

The stand-in runner records the speed and reports a load for the test; its checks are the same as before.

Ruled out for now: sending the order again while the tail stays over the limit.

--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -64,6 +64,8 @@
 	machines carawayshift.Machines
 	// takes returns how long a task runs; if it is nil, the time is random.
 	takes func(task carawayshift.TaskName) time.Duration
+	// load returns the load that a task reports; if it is nil, 0.
+	load func(task carawayshift.TaskName) int
 	// fails reports whether a task fails; it may be nil.
 	fails func(task carawayshift.TaskName) bool
 	// recall calls handle with each report that other control hosts received; it
@@ -125,6 +127,8 @@
 	startFates []fate
 	// renewFates holds what happens to the next lease renewals, in order.
 	renewFates []fate
+	// latePercent is the speed of the next throttle request that is executed late, 0 for none.
+	latePercent int
 	// fixedDelay is true if all late calls are executed after lateBy.
 	fixedDelay bool
 	// shedShare is the share of start requests that a runner refuses as
@@ -169,7 +173,7 @@
 				ID: id, Incarnation: 1, Service: "fit", Zone: fmt.Sprintf("z%d", i%3), Rack: fmt.Sprintf("r%d", i%2),
 				Machine: "m-" + id, Address: id, MilliCores: 4000, Memory: 4000, Accelerators: 4,
 			},
-			Work: r.workOn(id), Lasts: r.lasts, Startup: time.Second, Gang: r.gangOf, Gangs: gangs, OnStart: r.onStart, OnEnd: r.onEnd, OnAcknowledge: r.onAcknowledge,
+			Work: r.workOn(id), Lasts: r.lasts, Startup: time.Second, Load: r.loadOf, Gang: r.gangOf, Gangs: gangs, OnStart: r.onStart, OnEnd: r.onEnd, OnAcknowledge: r.onAcknowledge,
 			StopDuration: 300 * time.Millisecond, GangTimeout: 3 * time.Second, MaxLease: rigTiming.Lease, MaxEnds: rigMaxEnds,
 		})
 	}
@@ -219,6 +223,13 @@
 	return r.need[task.Batch].LongRunning
 }
 
+func (r *rig) loadOf(task carawayshift.TaskName) int {
+	if r.load == nil {
+		return 0
+	}
+	return r.load(task)
+}
+
 func (r *rig) gangOf(task carawayshift.TaskName) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -720,5 +731,19 @@
 }
 
 func (n *network) Throttle(ctx context.Context, o carawayshift.AgentCall, task carawayshift.TaskName, run, percent int) error {
-	return n.rig.at(o.Agent.Address).Throttle(ctx, o, task, run, percent)
+	call := func() error {
+		return n.rig.at(o.Agent.Address).Throttle(context.Background(), o, task, run, percent)
+	}
+	n.rig.mu.Lock()
+	isLate := n.latePercent != 0 && percent == n.latePercent
+	if isLate {
+		n.latePercent = 0
+	}
+	n.rig.mu.Unlock()
+	if isLate {
+		time.AfterFunc(lateBy, func() { _ = call() })
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	return call()
 }
--- a/internal/dispatcher/throttle.go
+++ b/internal/dispatcher/throttle.go
@@ -71,10 +71,12 @@
 }
 
 // resetThrottle marks the speed of a run as unknown after a failed request, so
-// that the next status triggers another request.
+// that the next status triggers another request. The runner refuses the failed one from
+// its next call on: it would change the speed without a trace if it were executed late.
 func (s *session) resetThrottle(task carawayshift.TaskName, run int) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
+	s.raiseFence()
 	if r := s.find(task, run); r != nil {
 		r.percent = unknownSpeed
 	}
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -34,6 +34,8 @@
 	// has run for Startup. With nil, none is.
 	Lasts   func(task carawayshift.TaskName) bool
 	Startup time.Duration
+	// Load returns the load that a run reports. With nil, it is 0.
+	Load func(task carawayshift.TaskName) int
 	// Gang returns the number of members of a task's gang, 0 for none.
 	Gang func(task carawayshift.TaskName) int
 	// StopDuration is how long a stop takes, GangTimeout how long a member of a
@@ -81,6 +83,8 @@
 	timer    *time.Timer
 	started  time.Time
 	duration time.Duration
+	// percent is the speed to which the run was throttled.
+	percent int
 }
 
 // New returns a runner in its first incarnation.
@@ -192,7 +196,7 @@
 	if fails {
 		outcome = carawayshift.RunFailed
 	}
-	r := &run{number: req.Run, started: time.Now(), duration: duration}
+	r := &run{number: req.Run, started: time.Now(), duration: duration, percent: fullSpeed}
 	a.runs[req.Task] = r
 	time.AfterFunc(time.Until(a.leaseEnd), a.expireLease)
 	members := 0
@@ -358,7 +362,11 @@
 		if duration > 0 {
 			percent = min(100, int(100*time.Since(r.started)/duration))
 		}
-		st.Running = append(st.Running, carawayshift.RunReport{Task: task, Run: r.number, Percent: percent})
+		load := 0
+		if a.cfg.Load != nil {
+			load = a.cfg.Load(task)
+		}
+		st.Running = append(st.Running, carawayshift.RunReport{Task: task, Run: r.number, Percent: percent, Load: load})
 	}
 	n := len(a.ended)
 	if a.cfg.MaxEnds > 0 {
@@ -369,12 +377,31 @@
 	return st
 }
 
-// Throttle implements carawayshift.AgentClient. It only checks the call: the
-// stand-in always runs at full speed.
-func (a *Agent) Throttle(_ context.Context, call carawayshift.AgentCall, _ carawayshift.TaskName, _, _ int) error {
+// Throttle implements carawayshift.AgentClient. It records the speed: the stand-in always
+// runs at full speed.
+func (a *Agent) Throttle(_ context.Context, call carawayshift.AgentCall, task carawayshift.TaskName, n, percent int) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkCall(call); err != nil {
+		return err
+	}
+	if r := a.runs[task]; r != nil && r.number == n {
+		r.percent = percent
+	}
+	return nil
+}
+
+// Speed returns the percentage to which a run was throttled, -1 if there is none.
+func (a *Agent) Speed(task carawayshift.TaskName) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.checkCall(call)
+	if r := a.runs[task]; r != nil {
+		return r.percent
+	}
+	return -1
 }
 
+// fullSpeed is the speed of a run at its start, in percent.
+const fullSpeed = 100
+
 var _ carawayshift.AgentClient = (*Agent)(nil)
