--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -102,9 +102,9 @@
 }
 
 // renew renews the leases and acknowledges the committed ends. If another incarnation
-// answers, it replaces the session and returns an error. An acknowledgement that another
-// incarnation executes late would make it forget the end of a run that it has started since,
-// so that a later call makes the runner refuse it.
+// answers, it replaces the session and returns an error. Calls after an acknowledgement have
+// a higher fencing token: another incarnation that executes it late would forget the end of
+// a run that such a call started there.
 func (s *session) renew(wait time.Duration) (st carawayshift.AgentStatus, err error) {
 	s.t.mu.Lock()
 	seen, until, incarnation := s.endsToAcknowledge(), s.extendLease(), s.agent.Incarnation
@@ -362,14 +362,3 @@
 	}
 	return s.t.d.cfg.Table.MayStart(task, r.number, s.agent.Incarnation) && !s.t.d.cfg.ClosedZones()[s.agent.Zone]
 }
-
-// stopUnexpected stops a run that a delayed start request began. The caller
-// holds s.t.mu.
-func (s *session) stopUnexpected(r carawayshift.RunReport) {
-	s.log.WithFields(logrus.Fields{"event": "run unexpected", "task": r.Task.String(), "run": r.Run}).Warn("stopping a run that a delayed request started")
-	s.t.spawn(func() {
-		if _, err := s.callStop(r.Task, r.Run); err != nil {
-			s.handleCallError(err) // the next renewal lists the run again
-		}
-	})
-}
