dispatcher: leases on runners with long-running tasks end within [runners] outage

Runs of a lost runner may go on until its lease has expired on its own clock, so that the task can't start elsewhere before. A renewal that followed an unanswered one waited for up to 2.7 s, and only then the leader saw that the lease was over.

Change: [runners] outage, 9s by default, is the longest time that such a task may have no run after the loss of its runner. Leases on runners with long-running tasks follow from it; other runners keep the long lease. A runner that did not answer is asked without a wait.

Not shown: how often sound runs lapse for it. Not prevented: a runner that is lost together with the leader.

--- a/internal/batchserver/controlhost.go
+++ b/internal/batchserver/controlhost.go
@@ -79,7 +79,7 @@
 		Speeds:  s.speeds,
 		Advisor: services, Machines: services,
 		Timing: dispatcher.Timing{
-			Lease: cfg.Runners.Lease, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop,
+			Lease: cfg.Runners.Lease, MaxOutage: cfg.Runners.MaxOutage, Heartbeat: cfg.Runners.Heartbeat, Stop: cfg.Runners.Stop,
 			ReadyDelay: cfg.Runners.ReadyDelay, Maintenance: cfg.Runners.Maintenance, Retention: cfg.Batches.Retention,
 		},
 		Logger: s.opts.Log, Metrics: s.metrics,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -9,11 +9,11 @@
 //	err := d.Report(agent) // a runner's heartbeat, on the leader
 //	d.Wake()               // after a change of the table
 //
-// The fencing token is the leader's term, which only increases. A leaderTerm is
-// the state of one term in which this host leads; it has a session for each
-// runner that has reported. None of that state outlives the term: the next
-// leader finds the open runs in the table and requests the status of their
-// runners.
+// The fencing token consists of the leader's term and a count, and only increases. A
+// leaderTerm is the state of one term in which this host leads; it has a session for each
+// runner that has reported. A session calls its runner as soon as it is opened, so that the
+// runner refuses what was sent before. None of that state outlives the term: the next
+// leader finds the open runs in the table and requests the status of their runners.
 package dispatcher
 
 import (
@@ -39,6 +39,9 @@
 	// Lease is the maximum time that a runner keeps its tasks without a
 	// renewal.
 	Lease time.Duration
+	// MaxOutage is the longest time that a long-running task may have no run after its
+	// runner was lost, 0 for no limit. Leases on runners with such tasks are shorter for it.
+	MaxOutage time.Duration
 	// Heartbeat is the interval of the runners' reports.
 	Heartbeat time.Duration
 	// Retention is how long the state of an ended batch can be queried.
@@ -52,7 +55,24 @@
 	Maintenance time.Duration
 }
 
+// longRunningLease returns the length of leases on runners with long-running tasks. A lost
+// runner is given up once its lease has expired by its own clock and a stop would be over;
+// the task is then started elsewhere.
+func (t Timing) longRunningLease() time.Duration {
+	if t.MaxOutage == 0 {
+		return t.Lease
+	}
+	lease := float64(t.MaxOutage-replaceTime)*(1-clockDrift) - float64(t.Stop)
+	return min(t.Lease, max(time.Duration(lease), minLease))
+}
+
 const (
+	// replaceTime is how long it takes to notice that a lease has expired, with the last
+	// call that gets no answer, and to commit the loss and the start of the next run.
+	replaceTime = callTimeout + retryInterval + 500*time.Millisecond
+	// minLease is the shortest lease: two renewals may take as long as they can. The clock in
+	// a response may have been read when the renewal arrived.
+	minLease = 2 * (renewWait + callTimeout)
 	// renewWait is the maximum time that a runner delays its response to a
 	// lease renewal.
 	renewWait = 2 * time.Second
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -76,10 +76,11 @@
 
 // nextRenewal reports whether a renewal is due: to extend the leases of confirmed runs,
 // to notice that the runner of a run that is being stopped is gone, to see that an
-// unexpected run ends, to acknowledge committed ends, because the runner did not respond, to make a runner that this session
-// has not called yet refuse earlier calls, or to learn which runs it has. wait is how long
-// the runner may delay its response until a run ends. A renewal that is due counts as in
-// flight from here on.
+// unexpected run ends, to acknowledge committed ends, because the runner did not respond,
+// to make a runner that this session has not called yet refuse earlier calls, or to learn
+// which runs it has. wait is how long the runner may delay its response until a run ends: not
+// at all after a renewal without a response, so that an expired lease is noticed soon. A
+// renewal that is due counts as in flight from here on.
 func (s *session) nextRenewal() (due bool, wait time.Duration) {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
@@ -88,7 +89,7 @@
 		busy = busy || !r.confirmed.IsZero() || r.stopping && !r.ended
 		undecided = undecided || r.undecided()
 	}
-	if busy && !undecided {
+	if busy && !undecided && !s.unanswered {
 		wait = renewWait
 	}
 	s.renewing = busy || undecided || s.committed > s.acknowledged || s.unanswered || !s.contacted || s.adoptionDone && !s.reconciled
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -55,6 +55,8 @@
 	need           map[string]carawayshift.Step
 	leaders        []*Dispatcher
 	planner        carawayshift.Dispatcher
+	// timing is that of the leaders that are elected from now on.
+	timing Timing
 	// noticeDelay is how long a leader does not know that it was replaced.
 	noticeDelay time.Duration
 	// mute holds the runners whose reports are lost.
@@ -160,9 +162,9 @@
 		changed: make(chan struct{}), running: map[carawayshift.TaskName]int{},
 		ended: map[carawayshift.TaskName][]carawayshift.RunOutcome{}, need: map[string]carawayshift.Step{},
 		starts: map[carawayshift.TaskName]int{}, startsAtFinish: map[runKey]int{}, noted: map[carawayshift.TaskName]bool{},
-		firstSent:   map[runKey]int{},
-		planner:     assignment.New(assignment.Config{}),
-		noticeDelay: 200 * time.Millisecond, mute: map[string]bool{},
+		firstSent: map[runKey]int{},
+		planner:   assignment.New(assignment.Config{}),
+		timing:    rigTiming, noticeDelay: 200 * time.Millisecond, mute: map[string]bool{},
 	}
 	r.net = &network{rig: r, cut: map[string]bool{}, refuse: map[string]bool{}, renewDelay: map[string]time.Duration{}}
 	gangs := agent.NewGangs()
@@ -361,7 +363,7 @@
 	d := New(Config{
 		Host: fmt.Sprintf("c%d", term), Log: leaderLog{r, term}, Term: func() (uint64, bool, <-chan struct{}) { return r.currentTerm(term) },
 		Table: r.machine.Batches(), ClosedZones: r.closedZones,
-		Planner: r.planner, Client: r.net, Timing: rigTiming, Logger: log,
+		Planner: r.planner, Client: r.net, Timing: r.timing, Logger: log,
 		Permitted: r.leadsIn,
 		Advisor:   r.advisor, Machines: r.machines, Recall: r.recall, Speeds: r.speeds,
 	})
--- a/internal/dispatcher/session.go
+++ b/internal/dispatcher/session.go
@@ -30,7 +30,7 @@
 	// succeeded since.
 	unconfirmed bool
 	// contacted is true once the runner has answered a renewal: since then it refuses calls
-	// that were sent before the session, also by earlier leaders.
+	// that were sent before the session was opened, also by earlier leaders.
 	contacted bool
 	// adoptionDone is true once the session has adopted the runs of earlier terms on its
 	// runner, reconciled once a status has been compared with the session's runs.
@@ -171,11 +171,21 @@
 	if s.unanswered && s.leaseEnd > 0 {
 		return s.leaseEnd
 	}
-	until := s.clock + time.Since(s.clockAt) + s.t.d.cfg.Timing.Lease
+	until := s.clock + time.Since(s.clockAt) + s.leaseTime()
 	s.leaseEnd = max(s.leaseEnd, until)
 	return until
 }
 
+// leaseTime returns the length of a new lease. The caller holds s.t.mu.
+func (s *session) leaseTime() time.Duration {
+	for _, r := range s.runs {
+		if r.requirements.LongRunning {
+			return s.t.d.cfg.Timing.longRunningLease()
+		}
+	}
+	return s.t.d.cfg.Timing.Lease
+}
+
 // answeredByOther reports whether the clock in a response to a call that was sent at a
 // time suggests that an incarnation that has started since answered it. The caller holds
 // s.t.mu.
--- a/internal/settings/join.go
+++ b/internal/settings/join.go
@@ -24,6 +24,7 @@
 	c.readBool("join", "first", &s.Join.Bootstrap)
 	c.readInt("join", "losses", 0, maxVoters/2, &s.Join.ToleratedLosses)
 	c.readDuration("runners", "lease", &s.Runners.Lease)
+	c.readDuration("runners", "outage", &s.Runners.MaxOutage)
 	c.readDuration("runners", "heartbeat", &s.Runners.Heartbeat)
 	c.readDuration("runners", "stop", &s.Runners.Stop)
 	c.readDuration("runners", "reclaim", &s.Runners.Reclaim)
--- a/internal/settings/scan.go
+++ b/internal/settings/scan.go
@@ -63,7 +63,7 @@
 	"zones":    nil,
 	"peers":    nil,
 	"join":     {"seeds", "first", "losses"},
-	"runners":  {"lease", "heartbeat", "stop", "remote", "reclaim", "notice", "upkeep", "speeds"},
+	"runners":  {"lease", "outage", "heartbeat", "stop", "remote", "reclaim", "notice", "upkeep", "speeds"},
 	"batches":  {"keep", "shortage"},
 	"limits":   {"memory", "files", "bodies", "connections", "headers", "stall", "pace"},
 	"services": {"machines", "advice"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,9 @@
 	// Lease is the maximum time for which a runner keeps its tasks running
 	// without a call.
 	Lease time.Duration
+	// MaxOutage is the longest time that a long-running task may have no run after its
+	// runner was lost.
+	MaxOutage time.Duration
 	// Heartbeat is the interval of the runners' reports.
 	Heartbeat time.Duration
 	// Stop is the maximum time that stopping a run takes.
@@ -255,7 +258,7 @@
 		Log:      Log{Level: "info", Format: "text"},
 		Zones:    map[string]string{},
 		Join:     Join{ToleratedLosses: 1},
-		Runners:  Runners{Lease: 6 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, ReadyDelay: 6 * time.Second, Maintenance: 2 * time.Second, RemoteSlowdown: 3},
+		Runners:  Runners{Lease: 6 * time.Second, MaxOutage: 9 * time.Second, Heartbeat: 1500 * time.Millisecond, Stop: time.Second, Reclaim: 3 * time.Second, ReadyDelay: 6 * time.Second, Maintenance: 2 * time.Second, RemoteSlowdown: 3},
 		Batches:  Batches{Retention: 3 * time.Minute, Shortage: ShortageOff},
 		Limits:   DefaultLimits(),
 	}
