dispatcher: check a start again before it is repeated as overtaken

What callers saw: nothing.

A start is checked against its team's cap before it is sent; the repeat after a refusal sent it without that check, and the cap had been lowered in between.

Change: an overtaken start goes back to the loop that checks the cap and whether an earlier request may still be executed. A refusal as overtaken doesn't count as such a request.

Failed before: TestOvertakenStartHeedsTheCap ("start of b.0.0.1 is sent while its team is above its cap").

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -12,7 +12,7 @@
 	// respond, probeInterval the pause if it has no open runs.
 	retryInterval = 150 * time.Millisecond
 	probeInterval = time.Second
-	// maxOvertaken is how often a call is sent again because a later one has overtaken it.
+	// maxOvertaken is how often a call is sent while later ones overtake it.
 	maxOvertaken = 3
 )
 
@@ -33,19 +33,31 @@
 	s.fence = s.t.nextFence()
 }
 
-// send makes a call with the session's fencing token. If raise is true, the calls after it
-// have a higher one, so that a runner that has executed any of them refuses this one. A call
-// that a later one has overtaken in this way had no effect and is sent again.
-func (s *session) send(raise bool, do func(call carawayshift.AgentCall) error) error {
-	for attempt := 0; ; attempt++ {
-		call := s.nextCall(raise)
-		err := do(call)
-		if attempt == maxOvertaken || !s.overtaken(call, err) {
+// errOvertaken is the error of a call that the runner refused since it had executed a later
+// one of the session. It had no effect.
+var errOvertaken = errors.New("a later call has overtaken this one; send it again")
+
+// send makes a call like try, and sends it again if a later one has overtaken it.
+func (s *session) send(raise bool, do func(call carawayshift.AgentCall) error) (err error) {
+	for range maxOvertaken {
+		if err = s.try(raise, do); !errors.Is(err, errOvertaken) {
 			return err
 		}
-		s.t.d.cfg.Metrics.GetOrCreateCounter("carawayshift_calls_overtaken_total").Inc()
-		s.log.WithField("event", "overtaken").Info("the runner has executed a later call; sending this one again")
 	}
+	return err
+}
+
+// try makes a call with the session's fencing token. If raise is true, the calls after it
+// have a higher one, so that a runner that has executed any of them refuses this one.
+func (s *session) try(raise bool, do func(call carawayshift.AgentCall) error) error {
+	call := s.nextCall(raise)
+	err := do(call)
+	if !s.overtaken(call, err) {
+		return err
+	}
+	s.t.d.cfg.Metrics.GetOrCreateCounter("carawayshift_calls_overtaken_total").Inc()
+	s.log.WithField("event", "overtaken").Info("the runner has executed a later call; this one had no effect")
+	return errOvertaken
 }
 
 // nextCall returns the common part of a call to the runner, and raises the fencing token of
--- a/internal/dispatcher/caps_test.go
+++ b/internal/dispatcher/caps_test.go
@@ -111,3 +111,39 @@
 		o.Expect(use()).To(BeZero())
 	})
 }
+
+// Guards against a start that is sent again, because a later call has overtaken it, although
+// the team's cap has been lowered meanwhile.
+func TestOvertakenStartHeedsTheCap(t *testing.T) {
+	play(t, 1, 2, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		r.takes = func(carawayshift.TaskName) time.Duration { return 2 * time.Second }
+		r.setCap(1, 2)
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		r.net.startFates = []fate{overtaken}
+		r.mu.Unlock()
+		r.submit("b", single(2))
+		time.Sleep(25 * time.Millisecond) // both starts are committed and sent
+		r.setCap(2, 1)
+		time.Sleep(20 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+	})
+}
+
+// Guards against a run that is given up because a later call has overtaken its start.
+func TestOvertakenStartIsSentAgain(t *testing.T) {
+	play(t, 1, 1, func(_ context.Context, r *rig) {
+		o := NewWithT(t)
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		r.net.startFates = []fate{overtaken, overtaken}
+		r.mu.Unlock()
+		r.submit("b", together(3))
+		time.Sleep(10 * time.Second)
+		o.Expect(r.state("b")).To(Equal(carawayshift.BatchFinished))
+		for task, n := range r.starts {
+			o.Expect(n).To(Equal(1), task.String())
+		}
+	})
+}
--- a/internal/dispatcher/rig_test.go
+++ b/internal/dispatcher/rig_test.go
@@ -149,6 +149,7 @@
 	answerLost fate = "answer lost" // executed, no response
 	shed       fate = "shed"        // refused as unhealthy, not executed
 	lost       fate = "lost"        // no response, not executed
+	overtaken  fate = "overtaken"   // refused, since a later call was executed first
 )
 
 // lateBy is how late a request with the fate late is executed.
@@ -625,11 +626,23 @@
 		return 0, errNoAnswer
 	case shed:
 		return 0, &carawayshift.RefusalError{Reason: carawayshift.RefusedUnhealthy}
+	case overtaken:
+		time.Sleep(20 * time.Millisecond)
+		n.raiseFence(o.Agent.ID)
+		return 0, &carawayshift.RefusalError{Reason: carawayshift.RefusedFence}
 	}
 	err = n.deliver(ctx, o.Agent.Address, call)
 	return time.Duration(at.Load()), err
 }
 
+// raiseFence raises the fencing token of the leader's session of a runner.
+func (n *network) raiseFence(id string) {
+	t := n.rig.leader().current()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sessions[id].raiseFence()
+}
+
 func (n *network) nextStartFate() fate {
 	x := n.rig.random()
 	n.rig.mu.Lock()
--- a/internal/dispatcher/start.go
+++ b/internal/dispatcher/start.go
@@ -35,9 +35,10 @@
 // still execute: then, and if the result stays unknown, the run is stopped first.
 // repeated is true if an earlier leader may have sent such requests.
 func (s *session) sendStart(st carawayshift.RunStart, repeated bool) {
+	uncertain := repeated
 	for attempt := range maxStartAttempts {
 		if s.t.d.cfg.Table.OverCap(st.Task) {
-			if s.withholdStart(st, repeated || attempt > 0) {
+			if s.withholdStart(st, uncertain) {
 				return
 			}
 			break
@@ -52,6 +53,8 @@
 			return
 		case s.ctx.Err() != nil:
 			return
+		case errors.Is(err, errOvertaken):
+			continue // it had no effect, and the cap may have changed
 		}
 		s.log.WithError(err).WithFields(logrus.Fields{"event": "order failed", "task": st.Task.String(), "run": st.Run, "attempt": attempt + 1}).Warn("start of run not confirmed")
 		if s.handleCallError(err) {
@@ -59,10 +62,11 @@
 		}
 		var refusal *carawayshift.RefusalError
 		if errors.As(err, &refusal) {
-			s.startRefused(st, refusal.Reason, repeated || attempt > 0)
+			s.startRefused(st, refusal.Reason, uncertain)
 			return
 		}
 		s.markUnanswered(st.Task, st.Run)
+		uncertain = true
 		if s.isStopping(st.Task, st.Run) {
 			break
 		}
@@ -90,7 +94,7 @@
 	s.t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	err = s.send(false, func(call carawayshift.AgentCall) error {
+	err = s.try(false, func(call carawayshift.AgentCall) error {
 		clock, err = s.t.client.Start(ctx, call, o)
 		return err
 	})
