dispatcher: limit the first calls to runners without runs

What operators would see: a new leader connects to each runner it knows, and keeps the connections for 5 s.

Cause: the first calls of this series, sent to all runners at once on connections that are kept.

Change: 256 of them are in flight at a time, and they keep no connection. A session that gets a run meanwhile waits for no turn.

--- a/agent.go
+++ b/agent.go
@@ -36,6 +36,9 @@
 	// Fence is the fencing token. A runner refuses a call whose token is lower
 	// than the highest one that it has seen.
 	Fence uint64
+	// Single is true if no other call is expected to follow soon. No connection is kept
+	// for one then.
+	Single bool
 }
 
 // RunRequest asks a runner to start a run.
--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -38,7 +38,7 @@
 
 // newBenchTerm returns the term of a leader with runners that have two open runs
 // each. Nothing waits.
-func newBenchTerm(b *testing.B, ctx context.Context, runners int) *leaderTerm {
+func newBenchTerm(b testing.TB, ctx context.Context, runners int) *leaderTerm {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	table := batch.New()
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -14,8 +14,34 @@
 	probeInterval = time.Second
 	// maxOvertaken is how often a call is sent while later ones overtake it.
 	maxOvertaken = 3
+	// maxFirstCalls is the number of first calls to runners without runs that are in flight
+	// at a time. A new leader would otherwise connect to thousands of runners at once.
+	maxFirstCalls = 256
 )
 
+// onlyContacts reports whether the next call only makes the runner refuse earlier ones. The
+// caller holds s.t.mu.
+func (s *session) onlyContacts() bool { return !s.contacted && len(s.runs) == 0 }
+
+// awaitFirstCall waits until one of maxFirstCalls may be made, if the next call is such a
+// one, and returns a function that ends it. ok is false if the session has ended or been
+// woken meanwhile: it may have got a run.
+func (s *session) awaitFirstCall() (end func(), ok bool) {
+	s.t.mu.Lock()
+	first := s.onlyContacts()
+	s.t.mu.Unlock()
+	if !first {
+		return func() {}, true
+	}
+	select {
+	case s.t.firstCalls <- struct{}{}:
+		return func() { <-s.t.firstCalls }, true
+	case <-s.wake:
+	case <-s.ctx.Done():
+	}
+	return nil, false
+}
+
 // fenceBits is the number of bits of a fencing token below the term.
 const fenceBits = 32
 
@@ -65,7 +91,7 @@
 func (s *session) nextCall(raise bool) carawayshift.AgentCall {
 	s.t.mu.Lock()
 	defer s.t.mu.Unlock()
-	call := carawayshift.AgentCall{Agent: s.agent, Fence: s.fence}
+	call := carawayshift.AgentCall{Agent: s.agent, Fence: s.fence, Single: s.onlyContacts()}
 	if raise {
 		s.raiseFence()
 	}
--- a/internal/dispatcher/leaderterm.go
+++ b/internal/dispatcher/leaderterm.go
@@ -57,7 +57,9 @@
 	maintenanceRequested, maintenanceLate map[waveMachine]time.Time
 	// maintenanceGone holds the machines that don't exist.
 	maintenanceGone map[waveMachine]bool
-	wg              sync.WaitGroup
+	// firstCalls holds an element for each first call that is in flight.
+	firstCalls chan struct{}
+	wg         sync.WaitGroup
 	// removedInactive is when inactive runners were last removed, planned when the
 	// last plan was made.
 	removedInactive, planned time.Time
@@ -71,7 +73,8 @@
 		log:      d.cfg.Logger.WithFields(logrus.Fields{"part": "dispatcher", "term": term}),
 		sessions: map[string]*session{}, addresses: map[string]*session{}, verifying: map[string]bool{}, left: map[string]exit{},
 		stopping: map[carawayshift.TaskName]int{}, requested: map[carawayshift.TaskName]int{}, endsPending: make(chan struct{}, 1),
-		advice: map[carawayshift.TaskName]*advice{}, draining: map[string]bool{},
+		firstCalls: make(chan struct{}, maxFirstCalls),
+		advice:     map[carawayshift.TaskName]*advice{}, draining: map[string]bool{},
 		maintenanceConfirmed: map[waveMachine]bool{}, maintenanceGone: map[waveMachine]bool{},
 		maintenanceRequested: map[waveMachine]time.Time{}, maintenanceLate: map[waveMachine]time.Time{},
 	}
--- a/internal/dispatcher/renew.go
+++ b/internal/dispatcher/renew.go
@@ -29,8 +29,13 @@
 			}
 			continue
 		}
+		end, ok := s.awaitFirstCall()
+		if !ok {
+			continue
+		}
 		sent := time.Now()
 		st, err := s.renew(wait)
+		end()
 		var committed <-chan struct{}
 		if err == nil {
 			committed = s.handleStatus(st, sent)
